Give each set-up a connection of its own, and close on callers who ask nothing or nonsense

Ruled out: the module (a trace of its switches showed budgets and waits in order). At fault: PlatformFront.buildProtocol turned every new caller away once the limit was taken, and nothing ever closed an idle one. Fixed, with a test. Front: silent connections are closed after 2 s, idle ones after 10 s, and at the limit the longest idle makes room; ids that can't be named and unknown messages close, odd figures are answered and never sent on; an open call's id that comes again ends neither call nor gets a second answer; only its own connection gives a set-up up. Back: a pool of connections with a spare ahead, a set-up on each; answers are checked before they go on; a connection whose set-up a much later one has overtaken, or that went silent, is dropped at once; releases of calls at bookers that moved find their pool.

--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -35,6 +35,7 @@
         self.limits = limits
         self.counters = counters
         self.classes = {kind.name for kind in settings.classes}
+        self.longest_us = max(kind.deadline_us for kind in settings.classes)
         self.calls: SlotTable[Call] = SlotTable(limits.calls)
         self.by_uid: dict[str, Call] = {}
         self.listed_as: dict[str, api.SwitchState] = {}
--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -15,10 +15,16 @@
     line_bytes: int = 16 * 1024  # longest message on the platform's wire
     calls: int = 20_000  # open at once, standing ones included
     caller_connections: int = 341  # a third of the descriptors
+    caller_silent_us: int = 2 * SECOND  # a connection that asks for nothing is closed after
+    caller_idle_us: int = 10 * SECOND  # after its last set-up was answered; callers close theirs after 4 s
+    booker_connections: int = 12  # to one booker; past that, set-ups share them
+    booker_connecting: int = 2  # being made to one booker at once
+    booker_full_us: int = 2 * SECOND  # no spare is asked for after one was not to be had
+    booker_overtaken_us: int = 300 * MS  # a set-up sent so long after was answered: no answer will come
     booker_connect_us: int = 500 * MS
     booker_retry_us: int = 500 * MS  # between two connections that could not be made
     booker_silent_us: int = 2_500 * MS  # nothing heard for so long: see whether a new connection comes up
-    booker_lost_us: int = 5 * SECOND  # unreachable for so long: what stood there is over
+    booker_lost_us: int = 2 * SECOND  # after it has gone from the list: what stood there is over
     board_connect_us: int = 500 * MS
     board_retry_us: int = 100 * MS
     board_silent_us: int = 1_800 * MS  # it says a number every second
--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -57,6 +57,7 @@
     """An attempt as its pool sees it."""
 
     attempt: Attempt
+    pool: Pool
     connection: BookerConnection | None = None  # None: waits for one
     standing: bool = False
 
@@ -68,15 +69,23 @@
         back = pool.back
         super().__init__("booker", back.deadlines, back.limits, back.counters)
         self.pool = pool
+        self.pending: dict[str, Leg] = {}  # set-ups that wait for their answer here, oldest first
+        self.heard_us = back.deadlines.now_us()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tell the pool."""
         super().connectionLost(reason)
         self.pool.lost(self)
 
+    def drop(self, why: str) -> None:
+        """End the connection and what waits on it, which can't be answered any more."""
+        if self.open:
+            super().drop(why)
+            self.pool.lost(self)
+
     def dataReceived(self, data: bytes) -> None:
         """Note that the booker is heard."""
-        self.pool.heard_us = self.deadlines.now_us()
+        self.heard_us = self.pool.heard_us = self.deadlines.now_us()
         super().dataReceived(data)
 
     def message(self, message: Message) -> None:
@@ -85,10 +94,11 @@
         if kind == "running":
             self.pool.running(self, message)
         elif kind == "stop":
-            self.pool.stopped(message)
+            self.pool.stopped(self, message)
         elif kind == "usage":
             report = read_report(message.get("meta", {}).get("load"))
-            if report is not None and not self.pool.retired:
+            # It comes on up to four connections at once, and is one report.
+            if report is not None and not self.pool.retired and [self] == self.pool.connections[:1]:
                 self.pool.back.core.reported(self.pool.place.booker, report)
         elif kind == "check":
             self.say({"kind": "checked", "uid": uid_of(message), "meta": {}, "reason": 1})
@@ -97,21 +107,22 @@
 
 
 class Pool:
-    """What is open to one booker: a connection, its set-ups and what stands there.
+    """What is open to one booker: connections, their set-ups and what stands there.
 
-    Many set-ups share a connection, so one is enough. It is kept up while the booker is listed, as
-    the state of its lines comes on it unasked. A further one is opened when nothing has been heard
-    for long: whether that comes up tells a silent booker from one that has vanished.
+    Danger: a connection that breaks takes every set-up on it along. So each set-up gets one on which no
+    other waits, and a spare is opened ahead, up to a limit; past that they share. They are kept up while
+    the booker is listed, as the state of its lines comes on them unasked.
     """
 
     def __init__(self, back: PlatformBack, place: Place) -> None:
         self.back = back
         self.place = place
         self.connections: list[BookerConnection] = []
-        self.connecting = False
+        self.connecting = 0
         self.legs: dict[str, Leg] = {}
         self.heard_us = back.deadlines.now_us()
-        self.unreachable_us: int | None = None
+        self.answered_us = 0  # when the latest of the set-ups it answered was sent
+        self.full_until_us = 0  # it took no further connection: ask for no spare until then
         self.retired = False
         self.again: Deadline | None = None
         self.closed = False
@@ -124,53 +135,57 @@
     # Connections.
 
     def connect(self) -> None:
-        """Open a connection unless one is being opened."""
-        if self.connecting or self.closed:
+        """Open a connection, unless enough are being opened."""
+        limits = self.back.limits
+        if self.closed or self.connecting >= limits.booker_connecting:
             return
-        self.connecting = True
+        self.connecting += 1
         if self.again:
             self.again.cancel()
-        limits = self.back.limits
         place, wait_us = self.place, limits.booker_connect_us
         made = connect(self.back.reactor, place.host, place.port, wait_us, lambda: BookerConnection(self))
         made.addCallbacks(self._connected, self._no_connection)
 
     def _connected(self, connection: Any) -> None:
-        self.connecting = False
-        self.unreachable_us = None
-        self.back.counters.add("booker.connections")
-        self.heard_us = self.back.deadlines.now_us()
+        self.connecting -= 1
         if self.closed:
             connection.transport.abortConnection()
             return
+        self.back.counters.add("booker.connections")
+        self.heard_us = self.back.deadlines.now_us()
         self.connections.append(connection)
-        if len(self.connections) > 1:
-            self._drop_older()
         for leg in list(self.legs.values()):
             if leg.connection is None and not leg.standing:
-                self._write(connection, leg)
+                self._write(self._best(), leg)
+
+    def _best(self) -> BookerConnection:
+        """Return the connection with the fewest set-ups, of equals the one heard last."""
+        return min(self.connections, key=lambda one: (len(one.pending), -one.heard_us))
 
-    def _drop_older(self) -> None:
-        """Close connections on which nothing is being set up."""
-        busy = {leg.connection for leg in self.legs.values() if not leg.standing}
-        for connection in self.connections[:-1]:
-            if connection not in busy:
-                connection.transport.loseConnection()
+    def _keep_a_spare(self) -> None:
+        """Open a connection ahead of its need."""
+        idle = any(not one.pending for one in self.connections)
+        room = len(self.connections) + self.connecting < self.back.limits.booker_connections
+        if not idle and room and not self.retired and self.back.deadlines.now_us() >= self.full_until_us:
+            self.connect()
 
     def _no_connection(self, failure: Failure) -> None:
         """Nothing ran of what waited for it; what stands there may be over."""
-        self.connecting = False
+        self.connecting -= 1
         deadlines, limits = self.back.deadlines, self.back.limits
         now_us = deadlines.now_us()
+        self.full_until_us = now_us + limits.booker_full_us
         self.back.counters.add("booker.no_connection")
-        if self.unreachable_us is None:
-            self.unreachable_us = now_us
+        refused = failure.check("twisted.internet.error.ConnectionRefusedError") is not None
+        silent = now_us - self.heard_us > limits.booker_silent_us
+        if self.connections and (refused or not silent):
+            return  # it takes no more of them
+        for connection in self.connections[:]:
+            connection.drop("silent")
         for leg in list(self.legs.values()):
             if leg.connection is None and not leg.standing:
                 self._end(leg, End(Outcome.NO_CONNECTION))
-        refused = failure.check("twisted.internet.error.ConnectionRefusedError") is not None
-        silent = now_us - self.heard_us > limits.booker_silent_us
-        if (refused and not self.connections) or (silent and not refused):
+        if refused or silent:
             # No process listens, or the machine has vanished: its calls were cut.
             self.cut_all()
         if not self.closed and not self.retired:
@@ -178,8 +193,9 @@
 
     def lost(self, connection: BookerConnection) -> None:
         """Break the set-ups of a lost connection; whether calls are cut shows when it is made anew."""
-        if connection in self.connections:
-            self.connections.remove(connection)
+        if connection not in self.connections:
+            return
+        self.connections.remove(connection)
         for leg in list(self.legs.values()):
             if leg.connection is connection:
                 if leg.standing:
@@ -223,9 +239,11 @@
 
     def set_up(self, attempt: Attempt) -> None:
         """Send a set-up, or let it wait for the connection that is being made."""
-        leg = self.legs[attempt.offer.uid] = Leg(attempt)
+        leg = self.legs[attempt.offer.uid] = Leg(attempt, self)
+        self.back.legs[attempt.offer.uid] = leg
         if self.connections:
-            self._write(self.connections[-1], leg)
+            self._write(self._best(), leg)
+            self._keep_a_spare()
         else:
             self.connect()
 
@@ -233,52 +251,84 @@
         attempt = leg.attempt
         waited_us = self.back.deadlines.now_us() - attempt.sent_us
         leg.connection = connection
+        connection.pending[attempt.offer.uid] = leg
         meta = {"class": attempt.offer.call_class, "left": str(max(1, (attempt.left_us - waited_us) // 1000))}
         if attempt.offer.number:
             meta["key"] = attempt.offer.number
         connection.say({"kind": "launch", "uid": attempt.offer.uid, "meta": meta, "body": attempt.offer.body})
 
-    def take_back(self, attempt: Attempt) -> None:
+    def take_back(self, leg: Leg, unanswered: bool = False) -> None:
         """Give a set-up up, or release a call."""
-        leg = self.legs.pop(attempt.offer.uid, None)
-        if leg is None:
+        self._drop_leg(leg)
+        connection = leg.connection or (self._best() if leg.standing and self.connections else None)
+        if connection is None or not connection.open:
             return
-        connection = leg.connection or (self.connections[-1] if leg.standing and self.connections else None)
-        if connection is not None and connection.open:
-            connection.say({"kind": "stop", "uid": attempt.offer.uid, "meta": {}, "reason": NORMAL})
+        uid, sent_us = leg.attempt.offer.uid, leg.attempt.sent_us
+        connection.say({"kind": "stop", "uid": uid, "meta": {}, "reason": NORMAL})
+        if unanswered and connection.heard_us < sent_us and not connection.pending:
+            # Danger: one that went silent looks idle, and would take set-up after set-up.
+            connection.drop("silent")
 
     def running(self, connection: BookerConnection, message: Message) -> None:
         """Take an answer."""
-        leg = self.legs.get(uid_of(message))
-        if leg is None or leg.standing:
-            # It crossed our giving up, which releases the call as it arrives.
+        uid, body = uid_of(message), message.get("body")
+        if not isinstance(body, str):
+            connection.drop("bad_answer")
+            return
+        leg = connection.pending.pop(uid, None)
+        if leg is None:
+            # A second one, or it crossed our giving up, which releases the call as it arrives.
             self.back.counters.add("booker.late_answers")
             return
         leg.standing = True
-        if not self.back.core.stood(leg.attempt, message.get("body", "")):
-            self.take_back(leg.attempt)
-
-    def stopped(self, message: Message) -> None:
+        self.answered_us = max(self.answered_us, leg.attempt.sent_us)
+        if not self.back.core.stood(leg.attempt, body):
+            self.take_back(leg)
+        self._drop_overtaken()
+
+    def _drop_overtaken(self) -> None:
+        """Drop connections that were passed over.
+
+        A booker has one line: it answers in the order in which set-ups came. Danger: the answer to one
+        that a much later one has overtaken will not come, and waiting for it costs its whole time.
+        """
+        before_us = self.answered_us - self.back.limits.booker_overtaken_us
+        for connection in self.connections[:]:
+            oldest = next(iter(connection.pending.values()), None)
+            if oldest is not None and oldest.attempt.sent_us < before_us:
+                connection.drop("overtaken")
+
+    def stopped(self, connection: BookerConnection, message: Message) -> None:
         """Take a refusal or a release."""
+        cause = message.get("reason")
+        if not isinstance(cause, int):
+            connection.drop("bad_answer")
+            return
         leg = self.legs.get(uid_of(message))
-        if leg is None:
+        if leg is None or (not leg.standing and leg.connection is not connection):
             self.back.stray(uid_of(message))
             return
-        cause = message.get("reason")
         meta: Message = message.get("meta", {})
         if leg.standing:
             outcome = Outcome.SERVED if cause == NORMAL else Outcome.CUT
         else:
-            outcome = BEFORE.get(cause, Outcome.ERROR) if isinstance(cause, int) else Outcome.ERROR
+            outcome = BEFORE.get(cause, Outcome.ERROR)
         note = meta.get("note")
         full = outcome is Outcome.TURNED_AWAY and note == "queue_long"
         no_line = outcome is Outcome.TURNED_AWAY and note == "no_path"
         self._end(leg, End(outcome, full, no_line, read_report(meta.get("load"))))
 
     def _end(self, leg: Leg, end: End) -> None:
-        if self.legs.pop(leg.attempt.offer.uid, None) is not None:
+        if self._drop_leg(leg):
             self.back.core.ended(leg.attempt, end)
 
+    def _drop_leg(self, leg: Leg) -> bool:
+        uid = leg.attempt.offer.uid
+        if leg.connection:
+            leg.connection.pending.pop(uid, None)
+        self.back.legs.pop(uid, None)
+        return self.legs.pop(uid, None) is not None
+
 
 class PlatformBack:
     """The pools of all bookers. It is the core's Back."""
@@ -292,6 +342,7 @@
         self.limits = limits
         self.counters = counters
         self.pools: dict[str, Pool] = {}
+        self.legs: dict[str, Leg] = {}  # of all pools, those of bookers that have gone included
         self.stray: Callable[[str], None] = lambda _uid: None
         self._watch()
 
@@ -355,14 +406,11 @@
 
     def give_up(self, attempt: Attempt) -> bool:
         """Stop waiting for a set-up."""
-        if pool := self._pool_of(attempt):
-            pool.take_back(attempt)
+        if leg := self.legs.get(attempt.offer.uid):
+            leg.pool.take_back(leg, unanswered=attempt.given_up is Outcome.NO_ANSWER)
         return True
 
     def release(self, attempt: Attempt) -> None:
         """End a call that stands."""
-        if pool := self._pool_of(attempt):
-            pool.take_back(attempt)
-
-    def _pool_of(self, attempt: Attempt) -> Pool | None:
-        return self.pools.get(attempt.booker)
+        if leg := self.legs.get(attempt.offer.uid):
+            leg.pool.take_back(leg)
--- a/bitternbeam/net/platform/board.py
+++ b/bitternbeam/net/platform/board.py
@@ -67,7 +67,7 @@
             self.drop("bad_event")
 
     def other(self, line: bytes) -> None:
-        """Take the number that comes every second; a higher one than ours tells of a loss."""
+        """Take a number alone, bare or in an object; a higher one than ours tells of a loss."""
         try:
             rev = int(line)
         except ValueError:
@@ -186,6 +186,8 @@
         """Take one numbered event or pass over a repeated one; False: it or one before it is missing."""
         try:
             rev = int(event["rev"])
+            if "pool" not in event:  # the number that comes every second
+                return rev <= self.rev
             pool = event["pool"]
             whole = bool(pool["full"]) or self.rev == 0
             lines = [place_of(server) for server in pool["servers"]]
--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from twisted.internet.interfaces import IAddress
@@ -16,10 +17,13 @@
 from bitternbeam.decision.interface import Outcome
 from bitternbeam.limits import Limits
 from bitternbeam.net.platform.lines import NORMAL, REFUSED, RESET, JsonLines, Message, figure, uid_of
-from bitternbeam.net.reports import pairs
-from bitternbeam.tables.deadlines import Deadlines
+from bitternbeam.net.reports import figures
+from bitternbeam.tables.deadlines import Deadline, Deadlines
 from bitternbeam.tables.slots import SlotTable
 
+UID = re.compile("[0-9a-fA-F]{16}")
+MOST_WIDTH = 1_000  # of a call, in circuits: more is no call
+
 
 @dataclass(slots=True, eq=False)
 class Caller:
@@ -38,6 +42,25 @@
         super().__init__("caller", front.deadlines, front.limits, front.counters)
         self.front = front
         self.handle = 0
+        self.open_set_ups = 0  # not answered yet
+        self.idle_since_us = front.deadlines.now_us()
+        self.asked = False  # it has sent something of use: no silent one
+        self.closing = False  # to be closed once nothing is open on it
+        self.idle: Deadline | None = None
+
+    def drop(self, why: str) -> None:
+        """Give the slot back at once."""
+        if self.open:
+            super().drop(why)
+            self.front.closed(self)
+
+    def close(self, why: str) -> None:
+        """Give the slot back and close, once what was written has left."""
+        if self.open:
+            self.open = False
+            self.counters.add(f"caller.closed.{why}")
+            self.front.closed(self)
+            self.transport.loseConnection()
 
     def connectionMade(self) -> None:
         """Take a slot."""
@@ -47,6 +70,8 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Give up what was being set up for this caller."""
         super().connectionLost(reason)
+        if self.idle:
+            self.idle.cancel()
         self.front.closed(self)
 
     def message(self, message: Message) -> None:
@@ -55,12 +80,13 @@
         if kind == "launch":
             self.front.launched(self, message)
         elif kind == "stop":
-            self.front.stopped(uid_of(message))
+            self.front.stopped(self, uid_of(message))
         elif kind == "check":
+            self.front.useful(self)
             passed = 0 if self.front.closing else 1
             self.say({"kind": "checked", "uid": uid_of(message), "meta": {}, "reason": passed})
         elif kind not in ("stopped", "staging"):
-            self.counters.add("caller.unknown_kinds")
+            self.drop("unknown_kind")
 
 
 class PlatformFront(Factory):
@@ -77,70 +103,140 @@
         self.callers: SlotTable[Caller] = SlotTable(limits.calls + 1)
         self.by_uid: dict[str, int] = {}
         self.unheard: OrderedDict[str, int] = OrderedDict()  # releases for callers without a connection
+        # Connections with nothing open, the longest idle first: those that asked, those that never did.
+        self.resting: OrderedDict[int, CallerConnection] = OrderedDict()
+        self.silent: OrderedDict[int, CallerConnection] = OrderedDict()
         self.closing = False
 
     def buildProtocol(self, addr: IAddress | None) -> CallerConnection | None:
-        """Take a connection, up to the callers' share of the descriptors."""
+        """Take a connection, up to the callers' share of the descriptors.
+
+        Danger: those who connect and say nothing, or hold on after a call, would lock the usual callers
+        out. So at the limit the connection that is idle longest makes room, the silent ones first.
+        """
         if self.connections.full:
-            self.counters.add("caller.connections_over_the_limit")
-            return None
+            idle = next(iter((self.silent or self.resting).values()), None)
+            if idle is None:
+                self.counters.add("caller.connections_over_the_limit")
+                return None
+            idle.close("for_room")
         return CallerConnection(self)
 
     def opened(self, connection: CallerConnection) -> None:
         """Give a connection its slot, and the releases that found no connection."""
         connection.handle = self.connections.put(connection)
         self.counters.add("caller.connections")
+        self.silent[connection.handle] = connection
+        self._watch(connection)
         while self.unheard:
             self._say_release(connection, *self.unheard.popitem(last=False))
 
     def closed(self, connection: CallerConnection) -> None:
         """Give up a lost connection's set-ups; what stands belongs to no connection."""
-        self.connections.take(connection.handle)
-        for caller in self.callers.values():
+        if not self.connections.take(connection.handle):
+            return
+        self.silent.pop(connection.handle, None)
+        self.resting.pop(connection.handle, None)
+        for caller in self.callers.values() if connection.open_set_ups else ():
             if caller.connection == connection.handle and not caller.answered:
                 self.counters.add("caller.left_by_closing")
                 self._leave(caller)
 
+    def _watch(self, connection: CallerConnection) -> None:
+        """Close a connection once nothing has been open on it for long; a silent one sooner."""
+        if not connection.open:
+            return
+        limits = self.limits
+        wait_us = limits.caller_idle_us if connection.asked else limits.caller_silent_us
+        due_us = connection.idle_since_us + wait_us
+        now_us = self.deadlines.now_us()
+        if connection.open_set_ups:
+            due_us = now_us + wait_us
+        elif due_us <= now_us:
+            connection.close("idle" if connection.asked else "silent")
+            return
+        connection.idle = self.deadlines.at(due_us, lambda: self._watch(connection))
+
+    def useful(self, connection: CallerConnection) -> None:
+        """Note that a connection is no silent one, and that it is idle from now unless a set-up is open."""
+        connection.asked = True
+        connection.idle_since_us = self.deadlines.now_us()
+        self.silent.pop(connection.handle, None)
+        self.resting.pop(connection.handle, None)
+        if connection.open and not connection.open_set_ups:
+            self.resting[connection.handle] = connection
+
     def launched(self, connection: CallerConnection, message: Message) -> None:
-        """Take a set-up."""
+        """Take a set-up, or say at once that it can't be used."""
         taken_us = self.deadlines.now_us()
         uid = uid_of(message)
-        meta: dict[str, Any] = message.get("meta", {})
-        left_ms = figure(meta, "left")
-        kind = meta.get("class")
+        if not UID.fullmatch(uid):
+            connection.drop("no_id")  # there is no naming the call in an answer
+            return
         if uid in self.by_uid:
-            # A second answer under one id would break the rule for both.
-            self.counters.add("caller.duplicate_ids")
+            self._repeated(connection, uid)
             return
-        if not uid or left_ms is None or not isinstance(kind, str) or self.callers.full:
+        offer = self._read(uid, message, taken_us)
+        if offer is None or self.callers.full:
             self.counters.add("caller.unusable_set_ups")
-            if uid:
-                self._stop(connection, uid, RESET)
+            self._stop(connection, uid, RESET)
             return
-        extras = pairs(meta.get("extras"))
         caller = Caller(uid, connection.handle)
         ref = self.callers.put(caller)
         self.by_uid[uid] = ref
-        offer = Offer(
+        connection.open_set_ups += 1
+        self.useful(connection)
+        caller.call = self.core.offer(self, replace(offer, ref=ref))
+
+    def _read(self, uid: str, message: Message, taken_us: int) -> Offer | None:
+        """Return what a set-up asks for; None where a figure makes no sense.
+
+        Danger: a booker is told neither the figures nor how they were written. It would answer, and a
+        caller who asked for nonsense would be served.
+        """
+        meta: dict[str, Any] = message.get("meta", {})
+        left_ms = figure(meta, "left")
+        kind, number, body = meta.get("class"), meta.get("key", ""), message.get("body", "")
+        extras = figures(meta.get("extras", ""))
+        if left_ms is None or not 0 < left_ms * 1000 <= self.core.longest_us or extras is None:
+            return None
+        if not (isinstance(kind, str) and isinstance(number, str) and isinstance(body, str)):
+            return None
+        cell, width = extras.get("dest", -1), extras.get("width", 1)
+        if kind not in self.core.classes or cell < -1 or not 0 < width <= MOST_WIDTH:
+            return None
+        return Offer(
             uid=uid,
             call_class=kind,
-            cell=int(extras.get("dest", -1)),
+            cell=int(cell),
             left_us=int(left_ms * 1000),
             taken_us=taken_us,
-            number=str(meta.get("key", "")),
-            body=message.get("body", ""),
-            ref=ref,
+            number=number,
+            body=body,
             redial=extras.get("retry", 0) > 0,
             again=extras.get("again", 0) > 0,
         )
-        caller.call = self.core.offer(self, offer)
 
-    def stopped(self, uid: str) -> None:
-        """Take a caller's word that it gives up a set-up or ends a call."""
+    def _repeated(self, connection: CallerConnection, uid: str) -> None:
+        """Turn away a set-up under the id of an open call, which goes on.
+
+        Danger: an answer to it on the same connection could not be told from the open call's, and would
+        be a second one. There the open call's answer serves for both, and the connection ends with it.
+        """
+        self.counters.add("caller.duplicate_ids")
+        caller = self.callers.get(self.by_uid[uid])
+        if caller is None or caller.connection != connection.handle or caller.answered:
+            connection.drop("duplicate_id")
+        else:
+            connection.closing = True
+
+    def stopped(self, connection: CallerConnection, uid: str) -> None:
+        """Take a caller's word that it gives up a set-up or, on any connection, ends a call."""
         caller = self.callers.get(self.by_uid.get(uid, 0))
-        if caller is None:
+        if caller is None or not (caller.answered or caller.connection == connection.handle):
             self.counters.add("caller.unknown_stops")  # it crossed the call's end
         else:
+            self.useful(connection)
             self._leave(caller)
 
     def _leave(self, caller: Caller) -> None:
@@ -148,8 +244,20 @@
         if caller.answered:
             self.core.release(caller.call)
         else:
+            self._answered_on(caller)
             self.core.withdraw(caller.call)
 
+    def _answered_on(self, caller: Caller) -> CallerConnection | None:
+        """Note that one set-up less is open on a caller's connection; returns it while it lasts."""
+        connection = self.connections.get(caller.connection)
+        if connection is None:
+            return None
+        connection.open_set_ups -= 1
+        self.useful(connection)
+        if connection.closing and not connection.open_set_ups:
+            self.deadlines.after(1, lambda: connection.close("repeated_id"))  # behind the answer
+        return connection
+
     # The core's Front.
 
     def answered(self, ref: int, body: object) -> None:
@@ -158,7 +266,7 @@
         if caller is None:
             return
         caller.answered = True
-        if connection := self.connections.get(caller.connection):
+        if connection := self._answered_on(caller):
             connection.say({"kind": "running", "uid": caller.uid, "meta": {}, "body": body})
 
     def refused(self, ref: int, stay_away_us: int) -> None:
@@ -197,7 +305,7 @@
         if caller is None:
             return
         self.by_uid.pop(caller.uid, None)
-        if connection := self.connections.get(caller.connection):
+        if connection := self._answered_on(caller):
             self._stop(connection, caller.uid, cause, stay_away_us)
 
     def _stop(self, connection: CallerConnection, uid: str, cause: int, stay_away_us: int = 0) -> None:
--- a/bitternbeam/net/platform/lines.py
+++ b/bitternbeam/net/platform/lines.py
@@ -67,7 +67,9 @@
         """Nothing is produced by itself."""
 
     def _cut_off(self) -> None:
-        self.drop("stalled")
+        self.counters.add(f"{self.name}.stalled")
+        self.open = False
+        self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Take bytes, until the connection is dropped."""
--- a/bitternbeam/net/reports.py
+++ b/bitternbeam/net/reports.py
@@ -22,6 +22,14 @@
     return found
 
 
+def figures(text: object) -> dict[str, float] | None:
+    """Return the figures of a text like `dest:2;width:1`; None if any of it is not one."""
+    if not isinstance(text, str):
+        return None
+    found = pairs(text)
+    return found if len(found) == len(text.split(";") if text else ()) else None
+
+
 def read_report(text: object) -> Report | None:
     """Return a report; figures below 0 are not told."""
     figures = {
--- a/tests/test_board.py
+++ b/tests/test_board.py
@@ -123,8 +123,10 @@
     client.told(SwitchState.READY, "s1")
     client.told(SwitchState.DRAINING)
     assert client.counters["board.repeated_events"] == 1 and client.counters["board.events"] == 3
+    desk.transport.write(b'{"rev":5}\n5\n')
     desk.tell(6, "removed")
     client.told(None)
+    assert len(boards[0].desks) == 1
 
 
 def break_off(desk: Desk) -> None:
@@ -144,6 +146,10 @@
     desk.transport.write(b"4\n")
 
 
+def count_on_in_an_object(desk: Desk) -> None:
+    desk.transport.write(b'{"rev":4}\n')
+
+
 def say_noise(desk: Desk) -> None:
     desk.transport.write(b'{"rev":4,"pool":{"full":fal\xff\n')
 
@@ -153,7 +159,7 @@
 
 
 @pytest.mark.parametrize(
-    "fault", [break_off, stop_mid_event, skip_one, count_on, say_noise, say_endless], ids=lambda f: f.__name__
+    "fault", [break_off, stop_mid_event, skip_one, count_on, count_on_in_an_object, say_noise, say_endless]
 )
 def test_what_a_faulty_board_did_not_tell_is_asked_for_again(
     client: Client, boards: list[Board], fault: Any
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,8 @@
 
 import json
 from collections.abc import Iterator
+from functools import partial
+from itertools import count
 from typing import Any
 
 import pytest
@@ -21,6 +23,13 @@
 from tests.loop import parts, pause, reactor, until
 from tests.world import SETTINGS
 
+ID, ID2 = "9b1f03aa5c7e2d41", "7f3a9c21e0b4d655"
+LIMITS = Limits(
+    caller_connections=4, caller_silent_us=400_000, booker_lost_us=200_000, booker_overtaken_us=30_000
+)
+COUNT = count()
+FIGURES = "dest:0;width:1;via:-1"
+
 
 class Peer(LineOnlyReceiver):
     """Collects what it is told."""
@@ -30,13 +39,17 @@
 
     def __init__(self) -> None:
         self.got: list[dict[str, Any]] = []
+        self.seen: dict[str, int] = {}  # set-ups, in the order in which all peers got theirs
         self.lost = False
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         self.lost = True
 
     def lineReceived(self, line: bytes) -> None:
-        self.got.append(json.loads(line))
+        message = json.loads(line)
+        self.got.append(message)
+        if message["kind"] == "launch":
+            self.seen.setdefault(message["uid"], next(COUNT))
 
     def say(self, kind: str, uid: str, **more: Any) -> None:
         self.sendLine(json.dumps({"kind": kind, "uid": uid, "meta": {}, **more}).encode())
@@ -50,8 +63,8 @@
 
     def __init__(self) -> None:
         deadlines, self.counters = parts()
-        limits = Limits()
-        self.core = CallControl(Controller(SETTINGS, 1), SETTINGS, deadlines, limits, self.counters)
+        limits, self.module = LIMITS, Controller(SETTINGS, 1)
+        self.core = CallControl(self.module, SETTINGS, deadlines, limits, self.counters)
         self.back = PlatformBack(reactor, self.core, deadlines, limits, self.counters)
         self.core.attach(self.back)
         self.front = PlatformFront(self.core, deadlines, limits, self.counters)
@@ -75,10 +88,21 @@
         until(lambda: made)
         return made[0]
 
-    def launch(self, uid: str) -> None:
-        meta = {"class": "low", "left": "3000", "key": "n", "extras": "dest:0;width:1;via:-1"}
-        self.caller.say("launch", uid, meta=meta, body="v=0\r\n")
-        until(lambda: any(m["uid"] == uid for m in self.bookers[0].got))
+    def ask(self, caller: Peer, uid: str, body: str = "v=0\r\n", **odd: Any) -> None:
+        """Send a set-up, with some fields other than they should be."""
+        meta = {"class": "low", "left": "3000", "key": "n", "extras": FIGURES} | odd
+        caller.say("launch", uid, meta=meta, body=body)
+
+    def launch(self, uid: str) -> Peer:
+        """Send a set-up and return the booker's end of the connection that it came on."""
+        self.ask(self.caller, uid)
+        until(lambda: self.at(uid))
+        return self.at(uid)[-1]
+
+    def at(self, uid: str) -> list[Peer]:
+        """Return the bookers' connections that a set-up came on, in that order."""
+        found = [(one.seen[uid], one) for one in self.bookers if uid in one.seen]
+        return [one for _, one in sorted(found, key=lambda pair: pair[0])]
 
 
 @pytest.fixture
@@ -94,64 +118,182 @@
 
 @pytest.mark.parametrize(("cause", "told"), [(16, 16), (41, 41)])
 def test_a_call_stands_and_its_release_is_relayed(stage: Stage, cause: int, told: int) -> None:
-    stage.launch("a1")
-    assert (
-        stage.bookers[0].got[0]["body"] == "v=0\r\n"
-        and 0 < int(stage.bookers[0].got[0]["meta"]["left"]) <= 1500
-    )
-    stage.bookers[0].say("running", "a1", body="v=1\r\n")
-    stage.bookers[0].say("stop", "a1", reason=cause)
-    until(lambda: len(stage.caller.kinds("a1")) == 2)
-    assert stage.caller.kinds("a1") == [("running", None), ("stop", told)]
+    booker = stage.launch(ID)
+    assert booker.got[0]["body"] == "v=0\r\n" and 0 < int(booker.got[0]["meta"]["left"]) <= 1500
+    booker.say("running", ID, body="v=1\r\n")
+    booker.say("stop", ID, reason=cause)
+    until(lambda: len(stage.caller.kinds(ID)) == 2)
+    assert stage.caller.kinds(ID) == [("running", None), ("stop", told)]
     assert stage.caller.got[0]["body"] == "v=1\r\n" and len(stage.core.calls) == 0
 
 
-NONSENSE = [
-    b"{nonsense\n",
-    b"[1]\n",
-    b"{" + b"x" * 40_000,
-    b'{"kind":"launch","uid":"n","meta":7}\n',
-    b"\xff\xfe\n",
-]
+NONSENSE = [b"{nonsense\n", b"[1]\n", b"{" + b"x" * 40_000, b'{"kind":"stop","meta":7}\n', b"\xff\xfe\n"]
+NO_ID = [b'{"kind":"launch","meta":{}}\n', b'{"kind":"launch","uid":7}\n', b'{"kind":"odd","uid":"x"}\n']
 
 
-@pytest.mark.parametrize("noise", NONSENSE)
-def test_a_caller_that_can_not_be_read_is_closed_on(stage: Stage, noise: bytes) -> None:
+@pytest.mark.parametrize("noise", [*NONSENSE, *NO_ID, b'{"kind":"launch","uid":"9b1f', b""])
+def test_a_caller_that_can_not_be_answered_is_closed_on(stage: Stage, noise: bytes) -> None:
     # It is owed an answer, an error or a close; and an endless line must not be read to its end.
-    stage.launch("a1")
+    booker = stage.launch(ID)
     other = stage.dial()
     other.transport.write(noise)
     until(lambda: other.lost)
-    stage.bookers[0].say("running", "a1", body="x")
-    until(lambda: stage.caller.kinds("a1"))
-    assert stage.caller.kinds("a1") == [("running", None)]
+    booker.say("running", ID, body="x")
+    until(lambda: stage.caller.kinds(ID))
+    assert stage.caller.kinds(ID) == [("running", None)]
+
+
+ODD: list[dict[str, Any]] = [
+    {"class": "none"}, {"class": 3}, {"left": "-5"}, {"left": "nan"}, {"left": "1e12"}, {"left": "soon"},
+    {"left": None}, {"key": 5}, {"extras": "dest:0;width:-1"}, {"extras": "dest:0;width:1e9"},
+    {"extras": "dest:-7;width:1"}, {"extras": "dest:x;width:1"}, {"extras": 7}, {"body": 7},
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("odd", ODD, ids=str)
+def test_figures_that_make_no_sense_are_answered_and_never_sent_on(stage: Stage, odd: dict[str, Any]) -> None:
+    # A booker is not told the figures: it would answer, and nonsense would be served.
+    stage.ask(stage.caller, ID, **odd)
+    until(lambda: stage.caller.got)
+    assert stage.caller.kinds(ID) == [("stop", 41)] and not stage.core.calls and not stage.at(ID)
+    stage.launch(ID2)  # the connection is as good as before
+
+
+def test_an_open_calls_id_that_comes_again_does_not_end_the_call(stage: Stage) -> None:
+    # On its connection an answer could not be told from the open call's; elsewhere a close says enough.
+    booker = stage.launch(ID)
+    other = stage.dial()
+    stage.ask(other, ID, body="another")
+    until(lambda: other.lost)
+    stage.ask(stage.caller, ID, body="another")
+    stage.caller.say("check", "t", reason=0)
+    until(lambda: stage.caller.kinds("t"))
+    assert not stage.caller.kinds(ID)
+    booker.say("running", ID, body="x")
+    until(lambda: stage.caller.lost)
+    assert stage.caller.kinds(ID) == [("running", None)] and not other.got
+    assert [one.kinds(ID) for one in stage.at(ID)] == [[("launch", None)]]
+
+
+@pytest.mark.parametrize("asks", [False, True], ids=["who say nothing", "who asked once and hold on"])
+def test_callers_who_fill_the_limit_lock_nobody_out(stage: Stage, asks: bool) -> None:
+    # Yet a connection on which a set-up is open must never make room.
+    stage.launch(ID)
+    idle = [stage.dial() for _ in range(LIMITS.caller_connections - 1)]
+    for number, one in enumerate(idle if asks else ()):
+        stage.ask(one, f"{number:016x}", left="0")
+        until(partial(one.got.__getitem__, slice(None)))
+    stage.caller = stage.dial()
+    stage.launch(ID2)
+    until(lambda: idle[0].lost)
+    assert not any(one.lost for one in idle[1:])
+    assert stage.at(ID)[0].kinds(ID) == [("launch", None)]  # not given up
+
 
+def test_who_holds_a_connection_after_a_call_is_no_silent_one(stage: Stage) -> None:
+    stage.launch(ID).say("running", ID, body="x")
+    silent = stage.dial()
+    until(lambda: silent.lost)
+    pause(0.1)
+    assert not stage.caller.lost
 
-@pytest.mark.parametrize("noise", NONSENSE)
+
+def test_nobody_ends_another_callers_set_up(stage: Stage) -> None:
+    booker = stage.launch(ID)
+    other = stage.dial()
+    other.say("stop", ID, reason=16)
+    other.say("check", "t", reason=0)
+    until(lambda: other.kinds("t"))
+    booker.say("running", ID, body="x")
+    until(lambda: stage.caller.kinds(ID))
+    other.say("stop", ID, reason=16)  # but a call that stands belongs to no connection
+    until(lambda: booker.kinds(ID)[1:] == [("stop", 16)])
+
+
+# Bookers.
+
+
+@pytest.mark.parametrize(
+    "noise", [*NONSENSE, f'{{"kind":"running","uid":"{ID}","body":7}}\n'.encode()], ids=lambda n: n[:12]
+)
 def test_a_booker_that_can_not_be_read_loses_its_connection_and_no_time(stage: Stage, noise: bytes) -> None:
     # The connection is of no further use: what was open on it would wait out its time for nothing.
-    stage.launch("a1")
-    stage.bookers[0].transport.write(noise)
-    until(lambda: len(stage.bookers) == 2)
-    until(lambda: stage.counters["outcomes.cut"] == 1)
-    until(lambda: any(m["uid"] == "a1" for m in stage.bookers[1].got))
-    stage.bookers[1].say("running", "a1", body="x")
-    until(lambda: stage.caller.kinds("a1"))
-    assert stage.caller.kinds("a1") == [("running", None)]
+    booker = stage.launch(ID)
+    booker.transport.write(noise)
+    until(lambda: booker.lost and len(stage.at(ID)) == 2)
+    assert stage.counters["outcomes.cut"] == 1
+    stage.at(ID)[1].say("running", ID, body="x")
+    until(lambda: stage.caller.kinds(ID))
+    assert stage.caller.kinds(ID) == [("running", None)]
+
+
+def test_a_lost_connection_takes_one_set_up_along(stage: Stage) -> None:
+    # Set-ups that share a connection are spoilt together.
+    first = stage.launch(ID)
+    second = stage.launch(ID2)
+    first.transport.abortConnection()
+    second.say("running", ID2, body="x")
+    until(lambda: stage.caller.kinds(ID2) and len(stage.at(ID)) == 2)
+    assert len(stage.at(ID2)) == 1
+
+
+def test_a_connection_that_is_passed_over_is_dropped(stage: Stage) -> None:
+    # A booker answers in turn: the answer to a set-up that a much later one has overtaken will not come.
+    first = stage.launch(ID)
+    pause(0.05)
+    stage.launch(ID2).say("running", ID2, body="x")
+    until(lambda: first.lost and len(stage.at(ID)) == 2)
+    assert stage.counters["booker.dropped.overtaken"] == 1
+
+
+def test_second_copies_and_unknown_ids_harm_nobody(stage: Stage) -> None:
+    booker = stage.launch(ID)
+    for uid in (ID2, ID, ID):
+        booker.say("running", uid, body="x")
+    booker.say("stop", ID2, reason=41)
+    other = next(one for one in stage.bookers if one is not booker)
+    stage.launch(ID2)
+    other.say("running", ID2, body="not its own") if other not in stage.at(ID2) else None
+    stage.at(ID2)[0].say("running", ID2, body="x")
+    until(lambda: stage.caller.kinds(ID2))
+    assert [m["body"] for m in stage.caller.got] == ["x", "x"] and not booker.lost
 
 
 def test_a_dead_booker_cuts_what_stood_there(stage: Stage) -> None:
-    stage.launch("a1")
-    stage.bookers[0].say("running", "a1", body="x")
-    until(lambda: stage.caller.kinds("a1"))
+    stage.launch(ID).say("running", ID, body="x")
+    until(lambda: stage.caller.kinds(ID))
     stage.ports[0].stopListening()
-    stage.bookers[0].transport.abortConnection()
-    until(lambda: len(stage.caller.kinds("a1")) == 2)
-    assert stage.caller.kinds("a1")[1] == ("stop", 41)
+    for one in stage.bookers:
+        one.transport.abortConnection()
+    until(lambda: len(stage.caller.kinds(ID)) == 2)
+    assert stage.caller.kinds(ID)[1] == ("stop", 41)
 
 
 def test_a_caller_that_gives_up_is_owed_nothing_and_the_booker_is_told(stage: Stage) -> None:
-    stage.launch("a1")
-    stage.caller.say("stop", "a1", reason=16)
-    until(lambda: stage.bookers[0].kinds("a1")[1:] == [("stop", 16)])
+    booker = stage.launch(ID)
+    stage.caller.say("stop", ID, reason=16)
+    until(lambda: booker.kinds(ID)[1:] == [("stop", 16)])
     assert not stage.caller.got and not stage.core.calls
+
+
+def test_nothing_is_kept_of_bookers_callers_and_calls_that_have_gone(stage: Stage) -> None:
+    # Bookers, ids and connections are new all day: what is kept of each would fill the memory.
+    port = stage.ports[0].getHost().port
+    for number in range(1, 6):
+        uid, name, caller = f"{number:016x}", f"s{number}", stage.dial()
+        for state in (SwitchState.READY, SwitchState.DRAINING, SwitchState.GONE):
+            stage.core.listed(ListKind.CHANGES, [SwitchEntry(name, number, state)])
+            stage.back.listed([Place(name, "127.0.0.1", port, state, 0)], False)
+        stage.ask(caller, uid)
+        until(partial(stage.at, uid))
+        stage.at(uid)[0].say("running", uid, body="x")
+        until(partial(caller.got.__getitem__, slice(None)))
+        stage.at(uid)[0].say("stop", uid, reason=16)
+        until(partial(caller.got.__getitem__, slice(1, None)))
+        caller.transport.loseConnection()
+    until(lambda: len(stage.back.pools) == 1 and len(stage.front.connections) == 1)
+    until(lambda: len(stage.module.switches) == 1)  # it looks once an interval
+    assert not stage.back.legs and not stage.core.calls and not stage.core.by_uid
+    assert not stage.front.by_uid and not stage.front.callers and len(stage.front.resting) == 0
+    assert not stage.module.calls and not stage.module.waiting and list(stage.core.listed_as) == ["s0"]
+    assert set(stage.module.stood_in) <= {0}
