--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -43,6 +43,7 @@
         self.front = front
         self.handle = 0
         self.open_set_ups = 0  # not answered yet
+        self.standing = 0  # calls that came on it and stand: their release is awaited here
         self.idle_since_us = front.deadlines.now_us()
         self.asked = False  # it has sent something of use: no silent one
         self.closing = False  # to be closed once nothing is open on it
@@ -103,7 +104,7 @@
         self.callers: SlotTable[Caller] = SlotTable(limits.calls + 1)
         self.by_uid: dict[str, int] = {}
         self.unheard: OrderedDict[str, int] = OrderedDict()  # releases for callers without a connection
-        # Connections with nothing open, the longest idle first: those that asked, those that never did.
+        # Connections with no call, the longest idle first: those that asked, those that never did.
         self.resting: OrderedDict[int, CallerConnection] = OrderedDict()
         self.silent: OrderedDict[int, CallerConnection] = OrderedDict()
         self.closing = False
@@ -123,13 +124,11 @@
         return CallerConnection(self)
 
     def opened(self, connection: CallerConnection) -> None:
-        """Give a connection its slot, and the releases that found no connection."""
+        """Give a connection its slot."""
         connection.handle = self.connections.put(connection)
         self.counters.add("caller.connections")
         self.silent[connection.handle] = connection
         self._watch(connection)
-        while self.unheard:
-            self._say_release(connection, *self.unheard.popitem(last=False))
 
     def closed(self, connection: CallerConnection) -> None:
         """Give up a lost connection's set-ups; what stands belongs to no connection."""
@@ -150,7 +149,7 @@
         wait_us = limits.caller_idle_us if connection.asked else limits.caller_silent_us
         due_us = connection.idle_since_us + wait_us
         now_us = self.deadlines.now_us()
-        if connection.open_set_ups:
+        if connection.open_set_ups or connection.standing:
             due_us = now_us + wait_us
         elif due_us <= now_us:
             connection.close("idle" if connection.asked else "silent")
@@ -158,12 +157,14 @@
         connection.idle = self.deadlines.at(due_us, lambda: self._watch(connection))
 
     def useful(self, connection: CallerConnection) -> None:
-        """Note that a connection is no silent one, and that it is idle from now unless a set-up is open."""
+        """Note that a connection is no silent one, and that it is idle from now unless it has a call."""
         connection.asked = True
         connection.idle_since_us = self.deadlines.now_us()
         self.silent.pop(connection.handle, None)
         self.resting.pop(connection.handle, None)
-        if connection.open and not connection.open_set_ups:
+        while self.unheard:
+            self._say_release(connection, *self.unheard.popitem(last=False))
+        if connection.open and not (connection.open_set_ups or connection.standing):
             self.resting[connection.handle] = connection
 
     def launched(self, connection: CallerConnection, message: Message) -> None:
@@ -242,6 +243,7 @@
     def _leave(self, caller: Caller) -> None:
         self.callers.take(self.by_uid.pop(caller.uid))
         if caller.answered:
+            self._over_on(caller)
             self.core.release(caller.call)
         else:
             self._answered_on(caller)
@@ -253,11 +255,26 @@
         if connection is None:
             return None
         connection.open_set_ups -= 1
+        connection.standing += caller.answered
         self.useful(connection)
         if connection.closing and not connection.open_set_ups:
             self.deadlines.after(1, lambda: connection.close("repeated_id"))  # behind the answer
         return connection
 
+    def _over_on(self, caller: Caller) -> CallerConnection | None:
+        """Note that one call less stands on a caller's connection; returns where its release goes.
+
+        Danger: when that connection has gone, most others may belong to those who only hold on or talk
+        nonsense. One with a call of its own surely leads to the callers, then one that had one.
+        """
+        connection = self.connections.get(caller.connection)
+        if connection is not None:
+            connection.standing -= 1
+            self.useful(connection)
+            return connection
+        busy = (one for one in self.connections.values() if one.standing or one.open_set_ups)
+        return next(busy, None) or next(reversed(self.resting.values()), None)
+
     # The core's Front.
 
     def answered(self, ref: int, body: object) -> None:
@@ -287,7 +304,7 @@
             return
         self.by_uid.pop(caller.uid, None)
         cause = NORMAL if outcome is Outcome.SERVED else RESET
-        connection = self.connections.get(caller.connection) or next(self.connections.values(), None)
+        connection = self._over_on(caller)
         if connection is not None:
             self._say_release(connection, caller.uid, cause)
             return
