--- a/bitternbeam/decision/choice.py
+++ b/bitternbeam/decision/choice.py
@@ -14,7 +14,7 @@
 from bitternbeam.decision.state import Call, Group, Switch
 
 SECOND = 1_000_000
-INTERVAL_US = 1_000_000  # of the budget
+INTERVAL_PART = 2 / 3  # the budget's interval, of the shortest aim
 STEP = 0.1  # of the largest budget so far
 MEMORY = 3  # intervals for which a switch stays throttled
 SET_POINT = 0.9  # of the processor
@@ -30,12 +30,12 @@
 MARGIN_US = 60_000  # the final answer is given this long before the caller gives up
 GROWTH = 2.0  # a wait in hand is old: by its end it may have grown by this
 SILENT = 4.0  # an attempt unanswered for so many limits finds a silent switch
-DEAD_US = 1_000_000  # a switch that came back after less did not start anew
+DEAD_PART = 1.0  # of an interval: a switch that came back after less did not start anew
 COLD_PART = 0.75  # of what would push a cold switch over
-COME_BACK_US = 400_000  # a refused caller is asked to stay away so long
+COME_BACK_PART = 0.4  # of an interval: a refused caller is asked to stay away so long
 LOG_US = 10_000_000
-UNLEARNED = 2.0  # set-ups a second of all gateways to a cold switch while nothing has been learned
-FLEET = 8.0  # a second to one switch, of all gateways together: probes, and the least step
+UNLEARNED = 2.0  # set-ups an interval of all gateways to a cold switch while nothing has been learned
+FLEET = 8.0  # an interval to one switch, of all gateways together: probes, and the least step
 TICK = 0  # timer reference of the interval; calls that wait use those above
 
 NEVER_RAN = (api.Outcome.TURNED_AWAY, api.Outcome.NO_CONNECTION, api.Outcome.NOT_SENT)
@@ -67,6 +67,8 @@
         self.stood_in: dict[int, int] = {}  # set-ups answered so far, by cell
         self.stood_rate = self.best_rate = 0.0  # of this gateway, an interval, over all switches; its best
         limits = [kind.aim_us * AIM_PART for kind in settings.classes]
+        # Danger: with a fixed interval, aims four times as short would be over before a budget has moved.
+        self.interval_us = max(1, int(min(kind.aim_us for kind in settings.classes) * INTERVAL_PART))
         self.limit_us = min([*limits, settings.resend_us * RESEND_PART or limits[0]])
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.NewCall: self.new_call,
@@ -87,7 +89,9 @@
         if not self.started:
             self.started = True
             # A phase of its own keeps the gateways from stepping together.
-            self.actions.append(api.SetTimer(now_us + int(INTERVAL_US * self.random.uniform(0.5, 1.5)), TICK))
+            self.actions.append(
+                api.SetTimer(now_us + int(self.interval_us * self.random.uniform(0.5, 1.5)), TICK)
+            )
             if self.settings.must_subscribe:
                 self.actions.append(api.Subscribe())
         if handler := self.handlers.get(type(event)):
@@ -133,7 +137,7 @@
     def waited(self, switch: Switch, wait_us: float) -> None:
         """Note a wait at a switch, told or felt."""
         # A sample's weight grows with the age of the last: few samples each stand for themselves.
-        age = (self.now_us - switch.wait_at_us) / INTERVAL_US
+        age = (self.now_us - switch.wait_at_us) / self.interval_us
         switch.wait_us += max(SMOOTH, min(1.0, age)) * (wait_us - switch.wait_us)
         switch.wait_at_us = self.now_us
         switch.news = True
@@ -329,7 +333,7 @@
         part = self.settings.cold_from + (1 - self.settings.cold_from) * age
         warm = self.best_rate * self.stood_in.get(switch.cell, 0) / (sum(self.stood_in.values()) or 1)
         rate = COLD_PART * self.settings.fall_multiple * part * warm
-        return int(SECOND / max(UNLEARNED / self.settings.gateways, rate))
+        return int(self.interval_us / max(UNLEARNED / self.settings.gateways, rate))
 
     def withdrawn(self, event: api.Withdrawn) -> None:
         """Owe a caller who left nothing more."""
@@ -340,7 +344,7 @@
         """Give the final answer."""
         safe = call.kind.effect is api.Effect.REPEATABLE or not call.may_have_run
         # Allowances grow by the interval: a caller soon back, still within its aim, often finds one.
-        away_us = min(COME_BACK_US, self.settings.max_stay_away_us)
+        away_us = min(int(COME_BACK_PART * self.interval_us), self.settings.max_stay_away_us)
         self.actions.append(api.Refuse(call.name, away_us) if safe else api.Fail(call.name))
         self.end(call)
 
@@ -371,7 +375,7 @@
         Danger: a processor that restarted unlisted is pushed over. An answer soon after a cut costs nothing.
         """
         switch.suspect = False
-        if switch.may_be_dead and self.now_us - switch.suspect_since_us > DEAD_US:
+        if switch.may_be_dead and self.now_us - switch.suspect_since_us > DEAD_PART * self.interval_us:
             self.chill(switch, self.now_us)
         switch.may_be_dead = False
         if switch.logged:
@@ -439,7 +443,7 @@
     def timer(self, event: api.TimerDue) -> None:
         """Run the interval, or go on with a call that waited for its release."""
         if event.ref == TICK:
-            self.actions.append(api.SetTimer(self.now_us + INTERVAL_US, TICK))
+            self.actions.append(api.SetTimer(self.now_us + self.interval_us, TICK))
             self.interval()
         name = self.waiting.pop(event.ref, None)
         if name == "":
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 
 import bitternbeam.decision.interface as api
 from bitternbeam.decision.state import Switch
-from tests.world import MS, SECOND, World
+from tests.world import MS, SECOND, SETTINGS, World
 
 LOW, HIGH = ("low", True), ("high", True)
 HALF = {LOW: 0.5, HIGH: 0.5}
@@ -202,3 +204,14 @@
         world.ends(f"c{world.count}", api.Outcome.SERVED, world.sent() or "s0", finished=True)
     seen = world.controller.seen
     assert seen["low", False] == pytest.approx(100, rel=0.2)  # a asks 300 of 400, its half is 200
+
+
+@pytest.mark.parametrize("scale", [1, 4])
+def test_the_interval_scales_with_the_aims(scale: int) -> None:
+    # With a fixed second, aims four times as short were over before a budget had moved.
+    kinds = [replace(kind, aim_us=kind.aim_us // scale) for kind in SETTINGS.classes]
+    world = World(classes=tuple(kinds))
+    world.wait(3 * SECOND // scale)
+    ticks = [at for at, ref in world.timers if ref == 0]
+    assert len(ticks) == 1 and 0 < ticks[0] - world.now <= SECOND // scale
+    assert world.controller.interval_us == SECOND // scale
