Let a switch inherit its cell's budget, and a rising budget follow what was sent last

Checked: step() capped the budget at a step over the smoothed count, which follows a budget by a fifth an interval: a fifth of the paper's step. Ruled out: the pace of a cold booker (it is warm within 1 s there). At fault: list_changed (a new Switch starts from nothing), step (usual is the smoothed count alone).

--- a/bitternbeam/decision/choice.py
+++ b/bitternbeam/decision/choice.py
@@ -106,13 +106,32 @@
             for name in self.switches.keys() - {entry.switch for entry in event.entries}:
                 self.switches[name].state = api.SwitchState.GONE
         for entry in event.entries:
-            known = self.switches.setdefault(entry.switch, Switch(entry.switch, entry.cell))
+            known = self.switches.get(entry.switch)
+            if known is None:
+                known = self.switches[entry.switch] = Switch(entry.switch, entry.cell)
+                self.inherit(known)
+            left = known.state is api.SwitchState.READY and entry.state is not api.SwitchState.READY
             known.state, known.cell = entry.state, entry.cell
+            for heir in self.switches.values() if left else ():
+                if heir.cell == known.cell and heir.state is api.SwitchState.READY:
+                    self.inherit(heir)
             if entry.started_at_us > known.started_us:
                 known.started_us = entry.started_at_us
                 known.suspect = False
                 self.chill(known, entry.started_at_us)
 
+    def inherit(self, heir: Switch) -> None:
+        """Give a switch that takes others' place in their cell the budget that was found for them.
+
+        Danger: from nothing a budget takes dozens of intervals, and by then the next one takes its place.
+        """
+        for old in self.switches.values():
+            if old.cell == heir.cell and old is not heir:
+                heir.largest, heir.budget = max(heir.largest, old.largest), max(heir.budget, old.budget)
+                heir.rate = max(heir.rate, old.rate)
+                for group, asked in old.asked.items():
+                    heir.asked[group] = max(heir.asked[group], asked)
+
     def probed(self, event: api.ProbeAnswer) -> None:
         """Take a probe's report; without one, the probe itself waited in line."""
         switch = self.switches.get(event.switch)
@@ -184,8 +203,9 @@
     def step(self, switch: Switch, shares: dict[Group, float]) -> None:
         """Move one switch's budget a step and pool its spare quota (the paper's LC-Logic)."""
         step = max(min(1.0, FLEET / self.settings.gateways), STEP * switch.largest)
-        # Calls are few: a smoothed count, and what chance may hide of it, stand for the last interval.
-        usual = switch.rate + (switch.rate * (1 - KEEP) / (1 + KEEP)) ** 0.5
+        # Calls are few: a smoothed count, and what chance may hide of it, stand for the last interval if
+        # that had less. Danger: the smoothed count alone trails a budget that rises, and holds it back.
+        usual = max(switch.sent, switch.rate + (switch.rate * (1 - KEEP) / (1 + KEEP)) ** 0.5)
         if not switch.pressed:
             switch.budget = max(switch.budget, usual)  # what was sent while unthrottled
         # Danger: of many noisy samples an interval, one is above nearly always, and the budget would never
@@ -215,7 +235,7 @@
             switch.asked[group] *= KEEP
         switch.rate *= KEEP
         switch.above = switch.refused = switch.news = False
-        switch.samples = switch.highs = 0
+        switch.samples = switch.highs = switch.sent = 0
 
     def new_call(self, event: api.NewCall) -> None:
         """Take a call: send it or refuse it, now."""
@@ -259,6 +279,7 @@
             (taken or choices[0]).asked[call.group] += 1 - KEEP
         if taken:
             taken.rate += (1 - KEEP) * first
+            taken.sent += first
             taken.credit[call.group] -= 1
             self.send(call, taken)
             return
--- a/bitternbeam/decision/state.py
+++ b/bitternbeam/decision/state.py
@@ -24,6 +24,7 @@
     budget: float = 0.0
     largest: float = 0.0
     rate: float = 0.0  # first set-ups an interval, smoothed
+    sent: int = 0  # first set-ups in this interval
     refused: bool = False  # a first set-up was, in this interval
     asked: dict[Group, float] = field(default_factory=lambda: defaultdict(float))  # an interval, smoothed
     credit: dict[Group, float] = field(default_factory=lambda: defaultdict(float))
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -215,3 +215,25 @@
     ticks = [at for at, ref in world.timers if ref == 0]
     assert len(ticks) == 1 and 0 < ticks[0] - world.now <= SECOND // scale
     assert world.controller.interval_us == SECOND // scale
+
+
+def test_a_switch_inherits_the_budget_of_the_one_whose_place_it_takes() -> None:
+    # From nothing a budget took dozens of intervals; bookers replaced every few seconds never got there.
+    world = World(switches=1)
+    old = world.controller.switches["s0"]
+    old.budget, old.largest, old.rate, old.pressed = 20.0, 25.0, 18.0, 3
+    world.feed(api.ListEvent(api.ListKind.CHANGES, (api.SwitchEntry("n0", 0, api.SwitchState.READY),)))
+    other = api.SwitchEntry("n1", 1, api.SwitchState.READY)
+    world.feed(api.ListEvent(api.ListKind.CHANGES, (other,)))
+    heir = world.controller.switches["n0"]
+    assert (heir.budget, heir.largest, heir.rate) == (20.0, 25.0, 18.0)
+    assert world.controller.switches["n1"].budget == 0  # another cell's
+    old.rate, heir.rate = 19.0, 1.0
+    world.tell("s0", api.SwitchState.DRAINING)  # what went there comes to the heir from here
+    assert heir.rate == 19.0
+
+
+def test_a_budget_rises_a_step_over_what_was_sent_last() -> None:
+    # The smoothed count alone trailed a rising budget and held it to a fifth of its step.
+    one = Switch("s0", 0, budget=10.0, largest=20.0, rate=4.0, pressed=3, news=True, samples=4, sent=10)
+    assert stepped(one).budget == 12.0
