Add WebAssembly plug-ins behind the core's gate, with fuel and memory limits

The core's Gate had nothing behind it. A plug-in exports offered() and ended(), sees numbers only and is asked before a call's first set-up, so a refusal is harmless; stay-away times are cut to the settings. One that traps or runs out of fuel is counted and disabled and the call goes on. wasmtime is loaded only when a plug-in is configured (tested). The gate now hears of every call that it passed, those refused before any attempt too: CallControl._close told it only of some.

--- a/bitternbeam/__main__.py
+++ b/bitternbeam/__main__.py
@@ -25,6 +25,7 @@
 from bitternbeam.net.platform.front import PlatformFront
 from bitternbeam.net.sip.settings import read_sip
 from bitternbeam.net.sip.site import SipSite
+from bitternbeam.plugins.settings import read_plugin
 from bitternbeam.tables.deadlines import Deadlines
 
 log = logging.getLogger("bitternbeam")
@@ -59,6 +60,7 @@
             counters=self.counters,
         )
         self.sip = self._sip_site()
+        self._plug_in()
         self.port: Any = None
         self.ending = False
         self.over = False
@@ -95,6 +97,18 @@
             )
         return site
 
+    def _plug_in(self) -> None:
+        """Put the plug-in before both cores, if its file names one."""
+        settings = read_plugin(Path(os.environ.get("BITTERNBEAM_PLUGINS", "deploy/plugins.toml")))
+        if settings is None:
+            return
+        from bitternbeam.plugins.wasm import WasmGate  # noqa: PLC0415 - its runtime takes memory
+
+        names = [kind.name for kind in self.config.settings.classes]
+        for core in (self.core, self.sip.core if self.sip else None):
+            if core is not None:
+                core.gate = WasmGate(settings, names, self.config.settings.max_stay_away_us, self.counters)
+
     def start(self) -> None:
         """Listen and follow the board."""
         made = listen(self.reactor, self.config.host, self.config.port, self.front)
--- a/bitternbeam/core/calls.py
+++ b/bitternbeam/core/calls.py
@@ -72,5 +72,6 @@
     state: State = State.PENDING
     attempts: int = 0
     out: Attempt | None = None  # sent and not answered, or standing
+    outcome: Outcome = Outcome.NOT_SENT  # of its last attempt
     held_until_us: int = 0  # a release is awaited until then
     deadline: Deadline | None = None
--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -313,7 +313,7 @@
     def _close(self, call: Call, attempt: Attempt, end: End) -> None:
         """Note the end of an attempt and tell the module."""
         now_us = self.clock.now_us()
-        call.out = None
+        call.out, call.outcome = None, end.outcome
         if attempt.deadline:
             attempt.deadline.cancel()
         self.counters.add(f"outcomes.{end.outcome.name.lower()}")
@@ -333,10 +333,10 @@
                 report=end.report,
             )
         )
-        if call.state is State.OVER and self.gate is not None:
-            took_us = now_us - call.offer.taken_us
-            self.gate.ended(call.offer.call_class, end.outcome, call.attempts, took_us)
 
     def _forget(self, call: Call) -> None:
         if call.state is State.OVER and call.out is None and self.calls.take(call.handle):
             self.by_uid.pop(call.offer.uid, None)
+            if self.gate is not None:
+                took_us = self.clock.now_us() - call.offer.taken_us
+                self.gate.ended(call.offer.call_class, call.outcome, call.attempts, took_us)
