Blame a switch for what others then answered, and let calls end before a planned restart

The module learned nothing from an error. A call that fails everywhere, as a caller's nonsense does, must not count: so a switch is blamed for an error when another then answers that call, and past a half it gets a trial an interval. Read: after SIGTERM the daemon hung up what stood as soon as no answer was owed, 0.7 s on, though it may stay for its longest deadline plus 0.7 s; and its last moment was fixed at 3.3 s, past SIGKILL where deadlines are shorter than 2.6 s. Now it ends once no call is left, or 0.3 s after the longest deadline, 3.3 s at the latest.

--- a/bitternbeam/__main__.py
+++ b/bitternbeam/__main__.py
@@ -135,7 +135,9 @@
         self.front.closing = True
         now_us = self.deadlines.now_us()
         self.deadlines.at(now_us + self.limits.serve_on_us, self._served_on)
-        self.deadlines.at(now_us + self.limits.shutdown_us, self._over)
+        # Danger: the process is killed 0.7 s after the longest deadline, and what is unanswered then is lost.
+        latest_us = min(self.limits.shutdown_us, self.core.longest_us + self.limits.shutdown_spare_us)
+        self.deadlines.at(now_us + latest_us, self._over)
 
     def reload(self) -> None:
         """Read the configuration anew and follow the board that it names; a bad file changes nothing.
@@ -154,7 +156,7 @@
         self.board.move(config.board)
 
     def _served_on(self) -> None:
-        """Wait until no core owes an answer."""
+        """Wait until no core has a call."""
         if self.sip is None:
             self.core.when_idle(self._over)
             return
--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -42,7 +42,6 @@
         self.gate: Gate | None = None
         self.events: deque[api.Event] = deque()
         self.feeding = False
-        self.pending = 0
         self.idle: Callable[[], None] | None = None
 
     def attach(self, back: Back) -> None:
@@ -72,7 +71,6 @@
         call = Call(offer, front)
         call.handle = self.calls.put(call)
         self.by_uid[offer.uid] = call
-        self.pending += 1
         end_us = offer.taken_us + offer.left_us - self.limits.answer_margin_us
         call.deadline = self.clock.at(end_us, lambda: self._time_up(call))
         left_us = max(0, offer.left_us - (self.clock.now_us() - offer.taken_us))
@@ -167,7 +165,7 @@
     # At the end.
 
     def when_idle(self, idle: Callable[[], None]) -> None:
-        """Call idle once no final answer is owed."""
+        """Call idle once no call is left; those that stand are given the time to come to their end."""
         self.idle = idle
         self._check_idle()
 
@@ -284,14 +282,11 @@
     def _settle(self, call: Call, state: State) -> None:
         """Leave PENDING, which a call does once."""
         call.state = state
-        self.pending -= 1
         if call.deadline:
             call.deadline.cancel()
-        if self.idle:
-            self.clock.at(self.clock.now_us(), self._check_idle)
 
     def _check_idle(self) -> None:
-        if self.idle and not self.pending:
+        if self.idle and not self.calls:
             idle, self.idle = self.idle, None
             idle()
 
@@ -337,6 +332,8 @@
     def _forget(self, call: Call) -> None:
         if call.state is State.OVER and call.out is None and self.calls.take(call.handle):
             self.by_uid.pop(call.offer.uid, None)
+            if self.idle:
+                self.clock.at(self.clock.now_us(), self._check_idle)
             if self.gate is not None:
                 took_us = self.clock.now_us() - call.offer.taken_us
                 self.gate.ended(call.offer.call_class, call.outcome, call.attempts, took_us)
--- a/bitternbeam/decision/choice.py
+++ b/bitternbeam/decision/choice.py
@@ -33,6 +33,8 @@
 DEAD_PART = 1.0  # of an interval: a switch that came back after less did not start anew
 COLD_PART = 0.75  # of what would push a cold switch over
 COME_BACK_PART = 0.4  # of an interval: a refused caller is asked to stay away so long
+BLAME = 0.2  # weight of one call in the share that a switch fails and others take
+FAILING = 0.5  # a switch with a larger share gets a trial an interval
 LOG_US = 10_000_000
 UNLEARNED = 2.0  # set-ups an interval of all gateways to a cold switch while nothing has been learned
 FLEET = 8.0  # an interval to one switch, of all gateways together: probes, and the least step
@@ -317,6 +319,7 @@
             and (not call.may_have_run or call.kind.effect is api.Effect.REPEATABLE)
             and not (slowed and now - switch.paced_us < switch.phase * self.gap_us(switch))
             and not (switch.suspect and switch.out)
+            and not (switch.errors > FAILING and now - switch.paced_us < self.interval_us)
             and (switch.free is None or switch.free > 0)
             and now + GROWTH * self.expected_us(switch) < call.aim_us
         )
@@ -385,6 +388,11 @@
         switch.answered_us = max(switch.answered_us, switch.out.pop(call.name, 0))
         if switch.suspect:
             self.heard(switch)
+        # Danger: a switch that fails at once looks idle, and draws more. A call that fails everywhere, as a
+        # caller's nonsense does, tells nothing of it: it is blamed for what another then answered.
+        for failed in call.erred:
+            failed.errors += BLAME * (1 - failed.errors)
+        switch.errors *= 1 - BLAME
         self.stood_rate += 1 - FORGET
         self.stood_in[switch.cell] = self.stood_in.get(switch.cell, 0) + 1
         switch.base_us = min(switch.base_us or event.took_us, event.took_us)
@@ -417,6 +425,8 @@
             self.end(call)
             return
         call.may_have_run |= event.outcome not in NEVER_RAN
+        if switch and event.outcome is api.Outcome.ERROR:
+            call.erred.append(switch)
         if event.outcome in HOLDS_ON:
             call.ready_us = self.now_us + self.settings.release_wait_us
         if self.now_us < call.ready_us < call.aim_us:
--- a/bitternbeam/decision/state.py
+++ b/bitternbeam/decision/state.py
@@ -43,6 +43,7 @@
     size: float | None = None
     suspect: bool = False  # silent or cut off: only single trial set-ups
     suspect_since_us: int = -1_000_000_000  # long ago
+    errors: float = 0.0  # share of calls that failed here and stood elsewhere
     logged: bool = False  # the staff were told that it is suspect
     may_be_dead: bool = False  # while suspect, a call was cut or a connection failed
 
@@ -65,3 +66,4 @@
     may_have_run: bool = False
     ready_us: int = 0  # release awaited until then
     failed: list[Switch] = field(default_factory=list)
+    erred: list[Switch] = field(default_factory=list)  # those among them that answered 'error'
--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -31,7 +31,8 @@
     stalled_us: int = 2 * SECOND  # a peer that reads nothing for so long is cut off
     answer_margin_us: int = 25 * MS  # the core's own final answer comes so long before the caller leaves
     serve_on_us: int = 700 * MS  # requests that still arrive after SIGTERM
-    shutdown_us: int = 3_300 * MS  # after SIGTERM, everything is over by then
+    shutdown_us: int = 3_300 * MS  # after SIGTERM, everything is over by then, or sooner:
+    shutdown_spare_us: int = 300 * MS  # so long after the longest deadline, which may be short
     flush_us: int = 150 * MS  # for the last bytes to leave
     stray_releases: int = 1_000  # releases kept for callers that have no connection now
     consul_connect_us: int = 1 * SECOND
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -237,3 +237,30 @@
     # The smoothed count alone trailed a rising budget and held it to a fifth of its step.
     one = Switch("s0", 0, budget=10.0, largest=20.0, rate=4.0, pressed=3, news=True, samples=4, sent=10)
     assert stepped(one).budget == 12.0
+
+
+@pytest.mark.parametrize("elsewhere", [True, False], ids=["fails here", "fails everywhere"])
+def test_a_switch_that_fails_what_others_take_gets_trials_only(elsewhere: bool) -> None:
+    # It answers at once, looks idle and drew more calls; a caller's nonsense, which fails everywhere,
+    # must not be held against it.
+    world = World()
+    first = 0
+    for _ in range(20):
+        name = world.call(0)
+        tries = 0
+        while switch := world.sent():
+            first += switch == "s0" and not tries
+            if switch == "s1" and elsewhere:
+                world.serve(name, switch, 40 * MS)
+                break
+            world.ends(name, api.Outcome.ERROR, switch, attempt=tries)
+            tries += 1
+    assert first == (4 if elsewhere else 20)
+    world.wait(SECOND + MS)
+    name = world.call(0)
+    assert world.sent() == "s0"  # a trial
+    for _ in range(3):  # it answers again
+        world.serve(name, "s0", 40 * MS)
+        world.wait(SECOND + MS)
+        name = world.call(0)
+    assert world.sent() == "s0"
