--- a/example/toy.py
+++ b/example/toy.py
@@ -49,6 +49,7 @@
     writer.write(line(kind="launch", uid="00000000000000a1", meta=meta, body="v=0\r\n"))
     for _ in range(2):
         print((await reader.readline()).decode().strip())
+    await asyncio.Event().wait()  # serve on until it is stopped
 
 
 asyncio.run(main())
