Take a booker's word that a call was cut as a sign of life; end SIP answers that come late

Checked: bookers said so on live connections (stop, cause 41); ruled out: resets (no connection was lost). At fault: Pool.stopped gave those the CUT that the module takes for a dead process. Now a given-up INVITE is kept for 64 T1 more: a late provisional answer brings its CANCEL, a late 200 its ACK and BYE (tests fail without it), then it is forgotten, as was none that stood: by_invite kept every answered INVITE for ever. SIP's port 0 could be free for UDP and taken for TCP, which failed a test once: it is asked for again.

--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -316,7 +316,9 @@
         note = meta.get("note")
         full = outcome is Outcome.TURNED_AWAY and note == "queue_long"
         no_line = outcome is Outcome.TURNED_AWAY and note == "no_path"
-        self._end(leg, End(outcome, full, no_line, read_report(meta.get("load"))))
+        # Danger: when lines are lost a booker cuts many calls at once, and that it says so shows it is alive.
+        told_cut = outcome is Outcome.CUT
+        self._end(leg, End(outcome, full, no_line, read_report(meta.get("load")), spoilt=told_cut))
 
     def _end(self, leg: Leg, end: End) -> None:
         if self._drop_leg(leg):
--- a/bitternbeam/net/sip/back.py
+++ b/bitternbeam/net/sip/back.py
@@ -171,9 +171,16 @@
 
     def unanswered(self, transaction: ClientTransaction, sent: bool) -> None:
         """Take an INVITE without any answer as one that may have gone on."""
-        leg = self.by_invite.pop(transaction, None) or self.closing.pop(transaction, None)
+        leg = self.by_invite.get(transaction) or self.closing.pop(transaction, None)
         if leg is not None:
+            leg.cancelling = True  # what still comes of it is ended
             self._end(leg, End(Outcome.NO_ANSWER if sent else Outcome.NO_CONNECTION))
+        if not sent:
+            self.settled(transaction)
+
+    def settled(self, transaction: ClientTransaction) -> None:
+        """Forget an INVITE that nothing more will come of."""
+        self.by_invite.pop(transaction, None)
 
     def ended(self, transaction: ServerTransaction, request: Message) -> bool:
         """Take a booker's BYE; False if it is of no dialog here."""
--- a/bitternbeam/net/sip/front.py
+++ b/bitternbeam/net/sip/front.py
@@ -247,6 +247,9 @@
         """Count a caller that is gone."""
         self.counters.add("sip.unanswered_byes")
 
+    def settled(self, transaction: ClientTransaction) -> None:
+        """Do nothing: a front sends no INVITE."""
+
 
 class DialogSide(Protocol):
     """Who else has dialogs."""
--- a/bitternbeam/net/sip/transaction.py
+++ b/bitternbeam/net/sip/transaction.py
@@ -30,6 +30,7 @@
     COMPLETED = "completed"
     CONFIRMED = "confirmed"  # INVITE server
     ACCEPTED = "accepted"  # RFC 6026
+    GIVEN_UP = "given up"  # INVITE client: its user waits no longer, but an answer may still come
     TERMINATED = "terminated"
 
 
@@ -157,6 +158,10 @@
         """Take that no final answer came; sent is False if the request surely never left."""
         ...
 
+    def settled(self, transaction: ClientTransaction) -> None:
+        """Take that nothing more will be told of an INVITE."""
+        ...
+
 
 class ClientTransaction(Machine):
     """INVITE and non-INVITE client transactions (17.1)."""
@@ -189,17 +194,31 @@
         self.timer("A" if self.invite else "E", self.gap_us, self._again)
 
     def _over(self, sent: bool) -> None:
-        if self.state in (State.CALLING, State.TRYING, State.PROCEEDING):
+        if self.state not in (State.CALLING, State.TRYING, State.PROCEEDING):
+            return
+        if self.invite and sent:
+            # Danger: its answers may all have been lost. One that comes yet must be ended, or the server
+            # goes on ringing or holds a call that nobody has.
+            self.state = State.GIVEN_UP
+            self.stop("A", "B")
+            self.timer("M", self.long_us, self._settle)
+        else:
             self.terminate()
-            self.user.unanswered(self, sent)
+        self.user.unanswered(self, sent)
+
+    def _settle(self) -> None:
+        self.terminate()
+        self.user.settled(self)
 
     def responded(self, response: Message) -> None:
         """Take a response of this transaction."""
-        waiting = self.state in (State.CALLING, State.TRYING, State.PROCEEDING)
+        given_up = self.state is State.GIVEN_UP
+        waiting = given_up or self.state in (State.CALLING, State.TRYING, State.PROCEEDING)
         if response.status < 200:
             if waiting:
                 self.provisional = True
-                self.state = State.PROCEEDING
+                if not given_up:
+                    self.state = State.PROCEEDING
                 if self.invite:
                     self.stop("A", "B")
                 self.user.responded(self, response)
@@ -215,7 +234,7 @@
             if waiting:
                 self.state = State.ACCEPTED
                 self.stop("A", "B")
-                self.timer("M", self.long_us, self.terminate)
+                self.timer("M", self.long_us, self._settle)
             if self.state is State.ACCEPTED:
                 self.user.responded(self, response)
             return
--- a/bitternbeam/net/sip/transport.py
+++ b/bitternbeam/net/sip/transport.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from twisted.internet.error import ConnectionRefusedError
+from twisted.internet.defer import maybeDeferred
+from twisted.internet.error import CannotListenError, ConnectionRefusedError
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import DatagramProtocol, Factory, connectionDone
 from twisted.protocols.basic import LineReceiver
@@ -182,12 +183,20 @@
         self.udp: Any = None
         self.tcp: Any = None
 
-    def listen(self, host: str, port: int) -> Any:
+    def listen(self, host: str, port: int, tries: int = 20) -> Any:
         """Listen on both; fires once the TCP port is there. Port 0: one that is free on both."""
         self.udp = self.reactor.listenUDP(port, self.datagrams, interface=host, maxPacketSize=65536)
         self.host, self.port = host, self.udp.getHost().port
-        made = listen(self.reactor, host, self.port, self)
-        return made.addCallback(self._listening)
+
+        def taken(failure: Failure) -> Any:
+            # The system gave a port that is free for UDP; somebody else may have it for TCP.
+            failure.trap(CannotListenError)
+            if port or tries <= 1:
+                return failure
+            stopped = maybeDeferred(self.udp.stopListening)
+            return stopped.addCallback(lambda _: self.listen(host, 0, tries - 1))
+
+        return listen(self.reactor, host, self.port, self).addCallbacks(self._listening, taken)
 
     def _listening(self, port: Any) -> None:
         self.tcp = port
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -259,6 +259,17 @@
     assert [m["body"] for m in stage.caller.got] == ["x", "x"] and not booker.lost
 
 
+@pytest.mark.parametrize("stands", [True, False])
+def test_a_booker_that_says_a_call_was_cut_is_not_taken_for_dead(stage: Stage, stands: bool) -> None:
+    # It loses lines, not its process: held against it, it was left single trials.
+    booker = stage.launch(ID)
+    if stands:
+        booker.say("running", ID, body="x")
+    booker.say("stop", ID, reason=41)
+    until(lambda: stage.counters["outcomes.cut"] == 1)
+    assert not stage.module.switches["s0"].suspect
+
+
 def test_a_dead_booker_cuts_what_stood_there(stage: Stage) -> None:
     stage.launch(ID).say("running", ID, body="x")
     until(lambda: stage.caller.kinds(ID))
