Use a failing booker as the last resort, and never twice for what a sound one failed

Checked: a trace of refusals: the failing booker had credit and was idle while the other was throttled or without a line in nearly all of them, and a fifth to a third of the trials there were answered. Read: a call that a sound booker failed was tried there again up to five times, a caller's nonsense included. At fault: may_send left the failing switch out; route fell back to switches that had failed the call.

--- a/bitternbeam/decision/choice.py
+++ b/bitternbeam/decision/choice.py
@@ -34,7 +34,7 @@
 COLD_PART = 0.75  # of what would push a cold switch over
 COME_BACK_PART = 0.4  # of an interval: a refused caller is asked to stay away so long
 BLAME = 0.2  # weight of one call in the share that a switch fails and others take
-FAILING = 0.5  # a switch with a larger share gets a trial an interval
+FAILING = 0.5  # a switch with a larger share is the last resort, but for a trial an interval
 LOG_US = 10_000_000
 UNLEARNED = 2.0  # set-ups an interval of all gateways to a cold switch while nothing has been learned
 FLEET = 8.0  # an interval to one switch, of all gateways together: probes, and the least step
@@ -286,23 +286,33 @@
             self.send(call, taken)
             return
         for switch in choices:
-            switch.refused |= first
+            switch.refused |= first and not self.failing(switch)
         self.answer(call)
 
     def route(self, call: Call) -> list[Switch]:
-        """Return the named switch while unthrottled, else two in order of unanswered set-ups."""
+        """Return the named switch while unthrottled, else two in order of unanswered set-ups.
+
+        Those that fail come last: a try there costs little, and some succeed.
+        """
         for switch in self.switches.values():
             if self.expected_us(switch) > self.limit_us:
                 switch.above = True  # on the spot: a flood fills the line before the interval is over
         usable = [switch for switch in self.switches.values() if self.may_send(call, switch)]
-        fresh = [switch for switch in usable if switch not in call.failed] or usable
+        failing = [switch for switch in usable if self.failing(switch)]
+        # What a sound switch could not make sense of it won't at the next try; a failing one may.
+        sound = [switch for switch in usable if not (switch in call.erred or switch in failing)]
+        fresh = [switch for switch in sound if switch not in call.failed] or sound
         named = [switch for switch in fresh if switch.cell == call.cell][:1]
         if named and not self.throttled(named[0]):
             return named
         others = [switch for switch in fresh if switch.cell != call.cell]
         # Danger: drawn alike, small switches get what only large ones have lines for: drawn by free lines.
         others.sort(key=lambda switch: (self.throttled(switch), self.random.expovariate(switch.free or 1.0)))
-        return sorted(named + others[: 2 - len(named)], key=lambda switch: len(switch.out))
+        return sorted(named + others[: 2 - len(named)], key=lambda switch: len(switch.out)) + failing
+
+    def failing(self, switch: Switch) -> bool:
+        """Tell whether a switch fails what others take, and no trial is due that would show it well again."""
+        return switch.errors > FAILING and self.now_us - switch.paced_us < self.interval_us
 
     def may_send(self, call: Call, switch: Switch) -> bool:
         """Guard the rules, and keep off what cannot be in time."""
@@ -319,7 +329,6 @@
             and (not call.may_have_run or call.kind.effect is api.Effect.REPEATABLE)
             and not (slowed and now - switch.paced_us < switch.phase * self.gap_us(switch))
             and not (switch.suspect and switch.out)
-            and not (switch.errors > FAILING and now - switch.paced_us < self.interval_us)
             and (switch.free is None or switch.free > 0)
             and now + GROWTH * self.expected_us(switch) < call.aim_us
         )
