Send a release whose connection has gone where a call was served; half the descriptors for callers

Its connection had gone, and the release went to the first connection of the table with anything open, which may be a bad client's or one that is closing. Bad clients are never served, so now it goes to one that was: best one on which calls stand, of these the one heard last; if there is none it waits for the next that is served (it waited for any).

--- a/bitternbeam/config.py
+++ b/bitternbeam/config.py
@@ -70,6 +70,6 @@
     except (ValueError, TypeError, AttributeError):
         raise ConfigError("seed or limits.sockets: not a number") from None
     max_open = raw["settings"].get("limits", {}).get("max_open", 20_000)
-    limits = Limits(caller_connections=max(1, sockets // 3), calls=min(20_000, int(max_open)))
+    limits = Limits(caller_connections=max(1, sockets // 2), calls=min(20_000, int(max_open)))
     name = environment.get("GW_NAME") or str(raw.get("name", ""))
     return Config(name, host, port, seed, str(raw["board"]), raw["known"], settings, limits)
--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -45,6 +45,7 @@
         self.open_set_ups = 0  # not answered yet
         self.standing = 0  # calls that came on it and stand: their release is awaited here
         self.idle_since_us = front.deadlines.now_us()
+        self.served = False  # a call that came on it stood: no bad client's ever does
         self.asked = False  # it has sent something of use: no silent one
         self.closing = False  # to be closed once nothing is open on it
         self.idle: Deadline | None = None
@@ -103,7 +104,7 @@
         self.connections: SlotTable[CallerConnection] = SlotTable(limits.caller_connections)
         self.callers: SlotTable[Caller] = SlotTable(limits.calls + 1)
         self.by_uid: dict[str, int] = {}
-        self.unheard: OrderedDict[str, int] = OrderedDict()  # releases for callers without a connection
+        self.unheard: OrderedDict[str, int] = OrderedDict()  # releases for which there was no connection
         # Connections with no call, the longest idle first: those that asked, those that never did.
         self.resting: OrderedDict[int, CallerConnection] = OrderedDict()
         self.silent: OrderedDict[int, CallerConnection] = OrderedDict()
@@ -162,8 +163,6 @@
         connection.idle_since_us = self.deadlines.now_us()
         self.silent.pop(connection.handle, None)
         self.resting.pop(connection.handle, None)
-        while self.unheard:
-            self._say_release(connection, *self.unheard.popitem(last=False))
         if connection.open and not (connection.open_set_ups or connection.standing):
             self.resting[connection.handle] = connection
 
@@ -256,6 +255,7 @@
             return None
         connection.open_set_ups -= 1
         connection.standing += caller.answered
+        connection.served |= caller.answered
         self.useful(connection)
         if connection.closing and not connection.open_set_ups:
             self.deadlines.after(1, lambda: connection.close("repeated_id"))  # behind the answer
@@ -265,15 +265,16 @@
         """Note that one call less stands on a caller's connection; returns where its release goes.
 
         Danger: when that connection has gone, most others may belong to those who only hold on or talk
-        nonsense. One with a call of its own surely leads to the callers, then one that had one.
+        nonsense, or be about to go themselves. One on which calls stand leads to the callers, then one
+        that was served; of these, the one heard last.
         """
         connection = self.connections.get(caller.connection)
         if connection is not None:
             connection.standing -= 1
             self.useful(connection)
             return connection
-        busy = (one for one in self.connections.values() if one.standing or one.open_set_ups)
-        return next(busy, None) or next(reversed(self.resting.values()), None)
+        served = [one for one in self.connections.values() if one.served]
+        return max(served, key=lambda one: (one.standing > 0, one.idle_since_us), default=None)
 
     # The core's Front.
 
@@ -285,6 +286,8 @@
         caller.answered = True
         if connection := self._answered_on(caller):
             connection.say({"kind": "running", "uid": caller.uid, "meta": {}, "body": body})
+            while self.unheard:
+                self._say_release(connection, *self.unheard.popitem(last=False))
 
     def refused(self, ref: int, stay_away_us: int) -> None:
         """Turn a caller away."""
@@ -298,7 +301,7 @@
         self._final(ref, RESET, 0)
 
     def released(self, ref: int, outcome: Outcome) -> None:
-        """Tell a caller that its call is over, on its connection, any other, or the next."""
+        """Tell a caller that its call is over, on its connection, another, or the next that is served."""
         caller = self.callers.take(ref)
         if caller is None:
             return
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -210,6 +210,28 @@
     until(lambda: booker.kinds(ID)[1:] == [("stop", 16)])
 
 
+@pytest.mark.parametrize("first", [True, False], ids=["another is served", "the next is served"])
+def test_a_release_whose_connection_has_gone_goes_to_one_that_was_served(stage: Stage, first: bool) -> None:
+    # The others may all be bad clients', and what they are told never reaches the caller.
+    stage.ask(stage.dial(), "00000000000000b1")
+    if first:
+        stage.launch(ID2).say("running", ID2, body="x")
+        until(lambda: stage.caller.got)
+    gone = stage.dial()
+    stage.ask(gone, ID)
+    until(lambda: stage.at(ID))
+    stage.at(ID)[0].say("running", ID, body="x")
+    until(lambda: gone.got)
+    gone.transport.abortConnection()
+    stage.dial().say("check", "t", reason=0)
+    until(lambda: len(stage.front.connections) == 3)
+    stage.at(ID)[0].say("stop", ID, reason=16)
+    if not first:
+        stage.launch(ID2).say("running", ID2, body="x")
+    until(lambda: stage.caller.kinds(ID))
+    assert stage.caller.kinds(ID) == [("stop", 16)]
+
+
 # Bookers.
 
 
