Keep young connections when room is made for new ones

Read: silent connections made room first, however young, and with 300 new ones a second the oldest silent one was some milliseconds old: a usual caller's whose set-up was on its way. Now one under 250 ms is spared while one that holds on after its call can go.

--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -16,6 +16,7 @@
     calls: int = 20_000  # open at once, standing ones included
     caller_connections: int = 512  # half of the descriptors: callers hold a third, the rest may be idle
     caller_silent_us: int = 2 * SECOND  # a connection that asks for nothing is closed after
+    caller_young_us: int = 250 * MS  # within which a connection may well be a usual caller's
     caller_idle_us: int = 10 * SECOND  # after its last set-up was answered; callers close theirs after 4 s
     booker_connections: int = 12  # to one booker; past that, set-ups share them
     booker_connecting: int = 2  # being made to one booker at once
--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -114,10 +114,13 @@
         """Take a connection, up to the callers' share of the descriptors.
 
         Danger: those who connect and say nothing, or hold on after a call, would lock the usual callers
-        out. So at the limit the connection that is idle longest makes room, the silent ones first.
+        out. So at the limit the connection that is idle longest makes room, the silent ones first; but one
+        just made is not silent: its set-up is on its way.
         """
         if self.connections.full:
-            idle = next(iter((self.silent or self.resting).values()), None)
+            silent, resting = next(iter(self.silent.values()), None), next(iter(self.resting.values()), None)
+            young_us = self.deadlines.now_us() - self.limits.caller_young_us
+            idle = silent if silent and (silent.idle_since_us < young_us or not resting) else resting
             if idle is None:
                 self.counters.add("caller.connections_over_the_limit")
                 return None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -190,6 +190,17 @@
     assert stage.at(ID)[0].kinds(ID) == [("launch", None)]  # not given up
 
 
+def test_a_connection_just_made_is_not_the_first_to_make_room(stage: Stage) -> None:
+    # Its set-up is on its way, while one that asked and holds on may be there for good.
+    holder = stage.dial()
+    stage.ask(holder, ID2, left="0")
+    until(lambda: holder.got)
+    stage.ask(stage.caller, ID)
+    young = [stage.dial() for _ in range(LIMITS.caller_connections - 1)]
+    until(lambda: holder.lost)
+    assert not any(one.lost for one in young)
+
+
 def test_who_holds_a_connection_after_a_call_is_no_silent_one(stage: Stage) -> None:
     stage.launch(ID).say("running", ID, body="x")
     silent = stage.dial()
