--- a/bitternbeam/decision/choice.py
+++ b/bitternbeam/decision/choice.py
@@ -67,6 +67,7 @@
         self.first_tries: dict[str, int] = {}  # when a number was first called, oldest first
         self.longest_us = max(kind.deadline_us for kind in settings.classes)
         self.stood_in: dict[int, int] = {}  # set-ups answered so far, by cell
+        self.cells = {cell for kind in settings.classes for cell in kind.cells or ()}
         self.stood_rate = self.best_rate = 0.0  # of this gateway, an interval, over all switches; its best
         limits = [kind.aim_us * AIM_PART for kind in settings.classes]
         # Danger: with a fixed interval, aims four times as short would be over before a budget has moved.
@@ -184,6 +185,8 @@
         self.stood_rate *= FORGET
         gone = api.SwitchState.GONE
         self.switches = {name: one for name, one in self.switches.items() if one.state is not gone or one.out}
+        cells = self.cells | {one.cell for one in self.switches.values()}
+        self.stood_in = {cell: count for cell, count in self.stood_in.items() if cell in cells}
         ready = [switch for switch in self.switches.values() if switch.state is api.SwitchState.READY]
         tries = self.first_tries.items()
         self.first_tries = {number: at for number, at in tries if self.now_us - at < self.longest_us}
--- a/bitternbeam/net/consul.py
+++ b/bitternbeam/net/consul.py
@@ -55,7 +55,8 @@
     name = str(service["ID"])
     host = str(service.get("Address") or item["Node"]["Address"])
     told = str(meta.get("cell", ""))
-    cell = int(told) if told.isdigit() else cells.setdefault(name, len(cells))
+    free = next(number for number in range(len(cells) + 1) if number not in cells.values())
+    cell = int(told) if told.isdigit() else cells.setdefault(name, free)
     passing = all(check.get("Status") == "passing" for check in item.get("Checks") or ())
     ready = passing and meta.get("state", "up") in ("up", "ready")
     started = str(meta.get("started_ms", "0"))
@@ -211,6 +212,7 @@
         entries += [SwitchEntry(one.name, one.cell, SwitchState.GONE, one.started_us) for one in gone]
         servers = [SipServer(one.name, one.hop, one.cell) for one in changed]
         self.held = now | {one.name: one for one in drains}
+        self.cells = {name: cell for name, cell in self.cells.items() if name in self.held}
         if self.first or entries:
             kind = ListKind.COMPLETE if self.first else ListKind.CHANGES
             self.first = False
--- a/bitternbeam/net/sip/site.py
+++ b/bitternbeam/net/sip/site.py
@@ -65,9 +65,10 @@
             self.back.hops = {}
         self.back.hops.update({one.name: one.hop for one in servers})
         for entry in entries:
+            self.states[entry.switch] = entry
             if entry.state is SwitchState.GONE:
                 self.back.hops.pop(entry.switch, None)
-            self.states[entry.switch] = entry
+                del self.states[entry.switch]  # names are new all day
         if kind is not ListKind.CHANGES:
             self.states = {entry.switch: entry for entry in entries}
         ready = {entry.cell for entry in self.states.values() if entry.state is SwitchState.READY}
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -154,3 +154,12 @@
     watch.agent.change(8, {"Service": None}, instance("a", cell="3"), instance("b", cell="x"))
     until(lambda: len(watch.told) == 2)
     assert watch.last() == {"b": READY} and watch.counters["consul.bad_instances"] == 1
+
+
+def test_nothing_is_kept_of_instances_that_have_gone(watch: Watch) -> None:
+    # Names are new all day; and a number that is free again is no other instance's.
+    for index in range(8, 14):
+        watch.agent.change(index, instance(f"n{index}"), instance(f"n{index + 1}"))
+        until(lambda index=index: len(watch.told) == index - 6)  # type: ignore[misc]
+        cells = [one.cell for one in watch.consul.held.values()]
+        assert len(set(cells)) == 2 and set(watch.consul.cells) == set(watch.consul.held)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -325,19 +325,25 @@
     port = stage.ports[0].getHost().port
     for number in range(1, 6):
         uid, name, caller = f"{number:016x}", f"s{number}", stage.dial()
-        for state in (SwitchState.READY, SwitchState.DRAINING, SwitchState.GONE):
-            stage.core.listed(ListKind.CHANGES, [SwitchEntry(name, number, state)])
+
+        def tell(state: SwitchState, name: str = name, cell: int = number) -> None:
+            stage.core.listed(ListKind.CHANGES, [SwitchEntry(name, cell, state)])
             stage.back.listed([Place(name, "127.0.0.1", port, state, 0)], False)
-        stage.ask(caller, uid)
+
+        tell(SwitchState.READY)
+        stage.ask(caller, uid, extras=f"dest:{number};width:1;via:-1")
         until(partial(stage.at, uid))
+        tell(SwitchState.DRAINING)
         stage.at(uid)[0].say("running", uid, body="x")
         until(partial(caller.got.__getitem__, slice(None)))
         stage.at(uid)[0].say("stop", uid, reason=16)
         until(partial(caller.got.__getitem__, slice(1, None)))
+        tell(SwitchState.GONE)
         caller.transport.loseConnection()
+    assert stage.module.stood_in == dict.fromkeys(range(1, 6), 1)
     until(lambda: len(stage.back.pools) == 1 and len(stage.front.connections) == 1)
-    until(lambda: len(stage.module.switches) == 1)  # it looks once an interval
+    until(lambda: not stage.module.stood_in)  # it looks once an interval
     assert not stage.back.legs and not stage.core.calls and not stage.core.by_uid
     assert not stage.front.by_uid and not stage.front.callers and len(stage.front.resting) == 0
     assert not stage.module.calls and not stage.module.waiting and list(stage.core.listed_as) == ["s0"]
-    assert set(stage.module.stood_in) <= {0}
+    assert list(stage.module.switches) == ["s0"] and not stage.module.first_tries.keys() - {"n"}
