Pace connections to a booker that resets each new one

Read: Pool.lost connected anew at once, each time, and so did every set-up; a peer that accepts and resets was called as fast as it could answer. The test counts five connections in place of hundreds. Also measured, for the house style's slices: json reads no memoryview, so a line is copied once, by LineReceiver: 0.3 of 2.7 microseconds a set-up.

--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -20,6 +20,7 @@
     caller_idle_us: int = 10 * SECOND  # after its last set-up was answered; callers close theirs after 4 s
     booker_connections: int = 12  # to one booker; past that, set-ups share them
     booker_connecting: int = 2  # being made to one booker at once
+    booker_stillborn: int = 3  # connections in a row that are reset when new: then one each booker_retry_us
     booker_full_us: int = 2 * SECOND  # no spare is asked for after one was not to be had
     booker_overtaken_us: int = 300 * MS  # a set-up sent so long after was answered: no answer will come
     booker_connect_us: int = 500 * MS
--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -71,6 +71,7 @@
         self.pool = pool
         self.pending: dict[str, Leg] = {}  # set-ups that wait for their answer here, oldest first
         self.heard_us = back.deadlines.now_us()
+        self.heard = False
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Tell the pool."""
@@ -86,6 +87,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Note that the booker is heard."""
         self.heard_us = self.pool.heard_us = self.deadlines.now_us()
+        self.pool.stillborn, self.heard = 0, True
         super().dataReceived(data)
 
     def message(self, message: Message) -> None:
@@ -122,6 +124,7 @@
         self.legs: dict[str, Leg] = {}
         self.heard_us = back.deadlines.now_us()
         self.answered_us = 0  # when the latest of the set-ups it answered was sent
+        self.stillborn = 0  # connections in a row that ended before anything came on them
         self.full_until_us = 0  # it took no further connection: ask for no spare until then
         self.retired = False
         self.again: Deadline | None = None
@@ -189,7 +192,12 @@
             # No process listens, or the machine has vanished: its calls were cut.
             self.cut_all()
         if not self.closed and not self.retired:
-            self.again = deadlines.after(limits.booker_retry_us, self.connect)
+            self._connect_later()
+
+    def _connect_later(self) -> None:
+        if self.again:
+            self.again.cancel()
+        self.again = self.back.deadlines.after(self.back.limits.booker_retry_us, self.connect)
 
     def lost(self, connection: BookerConnection) -> None:
         """Break the set-ups of a lost connection; whether calls are cut shows when it is made anew."""
@@ -204,11 +212,15 @@
                     # If its process died, that shows at once: the next connection is refused.
                     self._end(leg, End(Outcome.CUT, spoilt=True))
         if not self.connections and not self.closed:
+            self.stillborn += not connection.heard
             if self.retired:
                 self.cut_all()
                 self.close()
-            else:
+            elif self.stillborn <= self.back.limits.booker_stillborn:
                 self.connect()
+            elif not self.connecting:
+                # Danger: a peer that accepts and resets would be called again as fast as it can answer.
+                self._connect_later()
 
     def watch(self) -> None:
         """See after a booker that has not been heard for long while calls are there."""
@@ -244,7 +256,7 @@
         if self.connections:
             self._write(self._best(), leg)
             self._keep_a_spare()
-        else:
+        elif self.stillborn <= self.back.limits.booker_stillborn:
             self.connect()
 
     def _write(self, connection: BookerConnection, leg: Leg) -> None:
--- a/bitternbeam/net/platform/lines.py
+++ b/bitternbeam/net/platform/lines.py
@@ -25,9 +25,12 @@
 class JsonLines(LineReceiver):
     """One connection that carries a JSON object a line.
 
-    Each line is parsed where LineReceiver cut it from its buffer. Danger: after a line that is too long
-    or is no object there is no telling where the next message begins, and reading on to look for it
-    costs as much as the peer cares to send. So it ends the connection, at once.
+    Each line is parsed as LineReceiver cuts it from its buffer, a copy, as json reads no memoryview: that
+    costs 0.3 of the 2.7 microseconds of a set-up. Nothing else is copied.
+
+    Danger: after a line that is too long or is no object there is no telling where the next message
+    begins, and reading on to look for it costs as much as the peer cares to send. So it ends the
+    connection, at once.
     """
 
     delimiter = b"\n"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -279,6 +279,16 @@
     assert stage.counters["booker.dropped.overtaken"] == 1
 
 
+def test_a_booker_that_resets_every_new_connection_is_not_called_in_a_tight_loop(stage: Stage) -> None:
+    for known in range(1, 5):  # a few in a row are bad luck, and a call may wait
+        until(lambda known=known: len(stage.bookers) == known)  # type: ignore[misc]
+        pause(0.02)
+        stage.bookers[-1].transport.abortConnection()
+    pause(LIMITS.booker_retry_us / 1e6 / 2)
+    assert len(stage.bookers) == 4
+    until(lambda: len(stage.bookers) == 5)
+
+
 def test_second_copies_and_unknown_ids_harm_nobody(stage: Stage) -> None:
     booker = stage.launch(ID)
     for uid in (ID2, ID, ID):
