Open a connection after each that was lost, so that releases come again

Checked: 31 connections were reset under requests; nothing in the front's release path dropped one. At fault: Pool.lost made a new connection only when none was left. The test fails without the change.

--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -211,12 +211,14 @@
                 else:
                     # If its process died, that shows at once: the next connection is refused.
                     self._end(leg, End(Outcome.CUT, spoilt=True))
-        if not self.connections and not self.closed:
-            self.stillborn += not connection.heard
-            if self.retired:
-                self.cut_all()
-                self.close()
-            elif self.stillborn <= self.back.limits.booker_stillborn:
+        self.stillborn += not connection.heard
+        if self.retired and not self.connections and not self.closed:
+            self.cut_all()
+            self.close()
+        elif not self.closed:
+            # Danger: a release may have gone down with it, whose call would stand for ever. The booker sends
+            # it once more on the next connection that is opened, so one is, however many are left.
+            if self.stillborn <= self.back.limits.booker_stillborn:
                 self.connect()
             elif not self.connecting:
                 # Danger: a peer that accepts and resets would be called again as fast as it can answer.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -270,6 +270,18 @@
     assert len(stage.at(ID2)) == 1
 
 
+def test_a_release_that_went_down_with_its_connection_comes_on_the_next_one(stage: Stage) -> None:
+    # A booker sends it again on the next connection that is opened: with others left, none was.
+    booker = stage.launch(ID)
+    booker.say("running", ID, body="x")
+    until(lambda: stage.caller.got and len(stage.bookers) == 2)
+    pause(0.02)
+    booker.transport.abortConnection()
+    until(lambda: len(stage.bookers) == 3)
+    stage.bookers[2].say("stop", ID, reason=16)
+    until(lambda: stage.caller.kinds(ID)[1:] == [("stop", 16)])
+
+
 def test_a_connection_that_is_passed_over_is_dropped(stage: Stage) -> None:
     # A booker answers in turn: the answer to a set-up that a much later one has overtaken will not come.
     first = stage.launch(ID)
