--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -245,7 +245,10 @@
     def _leave(self, caller: Caller) -> None:
         self.callers.take(self.by_uid.pop(caller.uid))
         if caller.answered:
-            self._over_on(caller)
+            # Danger: this may be a set-up that was given up as our answer crossed it. The call stood, so it
+            # is released towards its caller like any other.
+            if connection := self._over_on(caller):
+                self._say_release(connection, caller.uid, NORMAL)
             self.core.release(caller.call)
         else:
             self._answered_on(caller)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -219,6 +219,8 @@
     until(lambda: stage.caller.kinds(ID))
     other.say("stop", ID, reason=16)  # but a call that stands belongs to no connection
     until(lambda: booker.kinds(ID)[1:] == [("stop", 16)])
+    # It may be a set-up given up as our answer crossed it: the call stood, and its end is told.
+    until(lambda: stage.caller.kinds(ID) == [("running", None), ("stop", 16)])
 
 
 @pytest.mark.parametrize("first", [True, False], ids=["another is served", "the next is served"])
