Set a silent connection aside in place of resetting it

Checked with a trace of every message: the release of the call never came; its connection to the booker had been dropped by us as silent 0.5 s after the answer, at the end of a set-up that had been given 25 ms. Ruled out: the front, lost connections of the booker's making. At fault: Pool.take_back dropped a connection at the end of any unanswered set-up, however short, and reset it with releases on their way. Now a silence counts from 0.3 s on, and a silent or overtaken connection gets no further set-up but is heard for 2 s more; its open set-ups are given up by name.

--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -23,6 +23,7 @@
     booker_stillborn: int = 3  # connections in a row that are reset when new: then one each booker_retry_us
     booker_full_us: int = 2 * SECOND  # no spare is asked for after one was not to be had
     booker_overtaken_us: int = 300 * MS  # a set-up sent so long after was answered: no answer will come
+    booker_aside_us: int = 2 * SECOND  # a silent connection is still heard for so long
     booker_connect_us: int = 500 * MS
     booker_retry_us: int = 500 * MS  # between two connections that could not be made
     booker_silent_us: int = 2_500 * MS  # nothing heard for so long: see whether a new connection comes up
--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -279,9 +279,10 @@
             return
         uid, sent_us = leg.attempt.offer.uid, leg.attempt.sent_us
         connection.say({"kind": "stop", "uid": uid, "meta": {}, "reason": NORMAL})
-        if unanswered and connection.heard_us < sent_us and not connection.pending:
+        silent_us = self.back.deadlines.now_us() - self.back.limits.booker_overtaken_us
+        if unanswered and connection.heard_us < sent_us < silent_us and not connection.pending:
             # Danger: one that went silent looks idle, and would take set-up after set-up.
-            connection.drop("silent")
+            self._set_aside(connection, "silent")
 
     def running(self, connection: BookerConnection, message: Message) -> None:
         """Take an answer."""
@@ -301,7 +302,7 @@
         self._drop_overtaken()
 
     def _drop_overtaken(self) -> None:
-        """Drop connections that were passed over.
+        """Set connections aside that were passed over.
 
         A booker has one line: it answers in the order in which set-ups came. Danger: the answer to one
         that a much later one has overtaken will not come, and waiting for it costs its whole time.
@@ -310,7 +311,18 @@
         for connection in self.connections[:]:
             oldest = next(iter(connection.pending.values()), None)
             if oldest is not None and oldest.attempt.sent_us < before_us:
-                connection.drop("overtaken")
+                self._set_aside(connection, "overtaken")
+
+    def _set_aside(self, connection: BookerConnection, why: str) -> None:
+        """Use a connection no more, but hear what still comes on it for a while.
+
+        Danger: releases may be on their way on it, and after a reset of ours they would not come again.
+        """
+        self.back.counters.add(f"booker.set_aside.{why}")
+        for uid in connection.pending:
+            connection.say({"kind": "stop", "uid": uid, "meta": {}, "reason": NORMAL})
+        self.lost(connection)
+        self.back.deadlines.after(self.back.limits.booker_aside_us, lambda: connection.drop(why))
 
     def stopped(self, connection: BookerConnection, message: Message) -> None:
         """Take a refusal or a release."""
