Keep one failing deadline from taking the others due with it along

Read: Deadlines._wake takes all that are due out of the heap before it runs them; an exception in one left the rest unrun, final answers among them. Now it is logged and the rest run. The test fails without the change.

--- a/bitternbeam/tables/deadlines.py
+++ b/bitternbeam/tables/deadlines.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import heapq
+import logging
 from collections.abc import Callable
 from itertools import count
 from typing import Protocol
 
+log = logging.getLogger(__name__)
+
 COMPACT_ABOVE = 256  # cancelled entries are swept out once they are that many and the larger part
 
 
@@ -100,7 +103,11 @@
                     self._dead -= 1
                     continue
                 handler, deadline.due = deadline.due, None
-                handler()
+                try:
+                    handler()
+                except Exception:
+                    # Danger: the others due now have left the heap; a fault in one must not lose them all.
+                    log.exception("a deadline's handler failed")
         finally:
             self._running = False
             self._arm()
--- a/tests/test_tables.py
+++ b/tests/test_tables.py
@@ -76,3 +76,15 @@
     for n in range(4 * COMPACT_ABOVE):
         deadlines.at(n, lambda: None).cancel()
     assert len(deadlines) == 0 and len(deadlines._heap) <= COMPACT_ABOVE
+
+
+def test_a_handler_that_fails_does_not_take_the_others_along() -> None:
+    # All that are due have left the structure: the calls behind the rest would never be answered.
+    hand, ran = Hand(), list[str]()
+    deadlines = Deadlines(hand)
+    deadlines.at(10, lambda: ran.append("a"))
+    deadlines.at(10, lambda: ran.append(str(1 // 0)))
+    deadlines.at(10, lambda: ran.append("b"))
+    deadlines.at(20, lambda: ran.append("c"))
+    hand.go(30)
+    assert ran == ["a", "b", "c"]
