Refuse numbers of over 256 characters: they are kept while their caller may redial

Read for growth: first_tries keeps each number for the longest deadline; a flood of lines with 16 KiB numbers, a thousand a second for 3 s, would hold 48 MB of the 64 MB that some controllers get.

--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -13,6 +13,7 @@
     """Sizes in bytes, times in microseconds."""
 
     line_bytes: int = 16 * 1024  # longest message on the platform's wire
+    number_chars: int = 256  # longest number called
     calls: int = 20_000  # open at once, standing ones included
     caller_connections: int = 512  # half of the descriptors: callers hold a third, the rest may be idle
     caller_silent_us: int = 2 * SECOND  # a connection that asks for nothing is closed after
--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -205,6 +205,8 @@
             return None
         if not (isinstance(kind, str) and isinstance(number, str) and isinstance(body, str)):
             return None
+        if len(number) > self.limits.number_chars:
+            return None  # the module keeps a number while its caller may redial: long ones fill the memory
         cell, width = extras.get("dest", -1), extras.get("width", 1)
         if kind not in self.core.classes or cell < -1 or not 0 < width <= MOST_WIDTH:
             return None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -149,8 +149,9 @@
 
 ODD: list[dict[str, Any]] = [
     {"class": "none"}, {"class": 3}, {"left": "-5"}, {"left": "nan"}, {"left": "1e12"}, {"left": "soon"},
-    {"left": None}, {"key": 5}, {"extras": "dest:0;width:-1"}, {"extras": "dest:0;width:1e9"},
-    {"extras": "dest:-7;width:1"}, {"extras": "dest:x;width:1"}, {"extras": 7}, {"body": 7},
+    {"left": None}, {"key": 5}, {"key": "5" * 1000}, {"extras": "dest:0;width:-1"},
+    {"extras": "dest:0;width:1e9"}, {"extras": "dest:-7;width:1"}, {"extras": "dest:x;width:1"},
+    {"extras": 7}, {"body": 7},
 ]  # fmt: skip
 
 
