Answer check and vars on the admin address; adopt an inherited listening socket

Change: bitternbeam/figures (pure) counts ok, shed, errors and tries per class where the core answers and where a back writes a set-up; net/admin.py answers one line a connection with deadlines and a bound on connections (the oldest makes room); GW_INHERITED_FD is checked to be a listening IPv4 TCP socket, set non-blocking and adopted, and given up at SIGTERM; a bad admin address, descriptor or a port in use is one line and a non-zero exit before anything is served.

Found while testing: with an inherited socket left blocking, 200 of 208 calls got no answer in 30 s; Twisted accepts until nothing is left, so the reactor sat in accept(). Ruled out a lost board list (the first 8 calls stood) and refused connections (none failed). os.set_blocking(fd, False) in adopt() mended it.

--- a/bitternbeam/config.py
+++ b/bitternbeam/config.py
@@ -30,6 +30,8 @@
     known: dict[str, Any]
     settings: Settings
     limits: Limits
+    admin: tuple[str, int] | None = None  # the operators' address: `admin`, or GW_ADMIN before it
+    inherited_fd: int | None = None  # GW_INHERITED_FD: the callers' listening socket, held by the platform
 
 
 def read_address(key: str, text: object) -> tuple[str, int]:
@@ -70,6 +72,22 @@
     except (ValueError, TypeError, AttributeError):
         raise ConfigError("seed or limits.sockets: not a number") from None
     max_open = raw["settings"].get("limits", {}).get("max_open", 20_000)
-    limits = Limits(caller_connections=max(1, sockets // 2), calls=min(20_000, int(max_open)))
+    limits = Limits(
+        caller_connections=max(1, sockets // 2),
+        calls=min(20_000, int(max_open)),
+        admin_connections=max(4, min(32, sockets // 32)),
+    )
     name = environment.get("GW_NAME") or str(raw.get("name", ""))
-    return Config(name, host, port, seed, str(raw["board"]), raw["known"], settings, limits)
+    admin_text = environment.get("GW_ADMIN") or raw.get("admin")
+    admin = (
+        read_address("GW_ADMIN" if environment.get("GW_ADMIN") else "admin", admin_text)
+        if admin_text
+        else None
+    )
+    inherited = environment.get("GW_INHERITED_FD", "").strip()
+    if inherited and not inherited.isdecimal():
+        raise ConfigError(f"GW_INHERITED_FD: {inherited!r} is not a descriptor number")
+    inherited_fd = int(inherited) if inherited else None
+    return Config(
+        name, host, port, seed, str(raw["board"]), raw["known"], settings, limits, admin, inherited_fd
+    )
--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -16,6 +16,7 @@
 from bitternbeam.core.ports import Back, Clock, Decisions, Front, Gate, Policies
 from bitternbeam.counters import Counters
 from bitternbeam.decision import interface as api
+from bitternbeam.figures.counts import Figures
 from bitternbeam.limits import Limits
 from bitternbeam.tables.deadlines import Deadline
 from bitternbeam.tables.slots import SlotTable
@@ -56,6 +57,8 @@
         self.limits = limits
         self.counters = counters
         self.classes = {kind.name for kind in settings.classes}
+        self.figures = Figures(tuple(kind.name for kind in settings.classes))
+        self.has_list = False  # the list of bookers was told once, if only from the configuration
         self.longest_us = max(kind.deadline_us for kind in settings.classes)
         self.calls: SlotTable[Call] = SlotTable(limits.calls)
         self.by_uid: dict[str, Call] = {}
@@ -79,22 +82,26 @@
         if offer.uid in self.by_uid or offer.call_class not in self.classes:
             # Two calls of one name could not be told apart at the booker.
             self.counters.add("calls.unusable")
+            self.figures.count("errors", offer.call_class)
             front.failed(offer.ref, late=False)
             return 0
         if self.calls.full:
             self.counters.add("calls.over_the_limit")
+            self.figures.count("shed", offer.call_class)
             front.refused(offer.ref, self.settings.max_stay_away_us)
             return 0
         now_us = self.clock.now_us()
         plan = self.policies.pin(now_us, offer) if self.policies else NO_PLAN
         if isinstance(plan, int):
             self.counters.add("calls.over_their_limits")
+            self.figures.count("shed", offer.call_class)
             front.refused(offer.ref, min(plan, self.settings.max_stay_away_us))
             return 0
         gate = self.gate
         away_us = gate.offered(offer.call_class, offer.cell, offer.left_us, offer.redial) if gate else None
         if away_us is not None:
             self.counters.add("calls.refused_by_plugin")
+            self.figures.count("shed", offer.call_class)
             front.refused(offer.ref, away_us)
             if self.policies:
                 self.policies.settled(plan, False)
@@ -153,6 +160,7 @@
         self._settle(call, State.STANDING)
         self._trace("stands", call)
         self.counters.add("answers.served")
+        self.figures.count("ok", call.offer.call_class)
         if self.policies:
             self.policies.settled(call.plan, True, attempt.booker)
         call.front.answered(call.offer.ref, body)
@@ -160,6 +168,15 @@
         self._feed(api.Stands(call.offer.uid, attempt.number, attempt.booker, took_us))
         return True
 
+    def written(self, attempt: Attempt) -> None:
+        """Count an attempt whose set-up has been handed whole to the booker's connection."""
+        self.figures.count("tries", attempt.offer.call_class)
+
+    @property
+    def active(self) -> int:
+        """Return the calls taken whose final answer is still owed."""
+        return sum(1 for call in self.by_uid.values() if call.state is State.PENDING)
+
     def progressed(self, attempt: Attempt) -> None:
         """Take word that a booker is at it."""
         call = self.calls.get(attempt.call)
@@ -190,6 +207,7 @@
     def listed(self, kind: api.ListKind, entries: Iterable[api.SwitchEntry]) -> None:
         """Take news of the list."""
         entries = tuple(entries)
+        self.has_list = True
         if kind in (api.ListKind.COMPLETE, api.ListKind.CACHED):
             missing = self.listed_as.keys() - {entry.switch for entry in entries}
             self.listed_as.update(dict.fromkeys(missing, api.SwitchState.GONE))
@@ -324,9 +342,11 @@
             self.policies.settled(call.plan, False, call.booker, cell, call.outcome)
         if isinstance(action, api.Refuse):
             self.counters.add("answers.refused")
+            self.figures.count("shed", call.offer.call_class)
             call.front.refused(call.offer.ref, action.stay_away_us)
         else:
             self.counters.add("answers.failed")
+            self.figures.count("errors", call.offer.call_class)
             call.front.failed(call.offer.ref, late)
         self._forget(call)
 
--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -53,6 +53,9 @@
     control_version_entries: int = 250_000
     control_transfer_us: int = 120 * SECOND  # of one payload, whatever its size
     operator_line_bytes: int = 64 * 1024
+    admin_connections: int = 32  # open on the admin address at once; past that the oldest makes room
+    admin_line_bytes: int = 512  # of one question
+    admin_line_us: int = 1_500 * MS  # for a whole line to come; every answer is due within 1 s of it
     operator_connections: int = 16
     sip_t1_us: int = 500 * MS  # RFC 3261's estimate of a round trip
     sip_t2_us: int = 4 * SECOND  # the longest gap between retransmissions
--- a/bitternbeam/net/connect.py
+++ b/bitternbeam/net/connect.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -27,3 +29,37 @@
     point: Any = TCP4ServerEndpoint(reactor, port, backlog=512, interface=host)
     made: Deferred[Any] = point.listen(factory)
     return made
+
+
+def listening_socket_problem(fd: int) -> str:
+    """Return why descriptor fd is not a listening IPv4 TCP socket, or '' if it is one.
+
+    The descriptor is looked at, not taken: it stays open and unchanged.
+    """
+    try:
+        probe = socket.socket(fileno=fd)
+    except OSError as error:
+        return f"descriptor {fd}: {error.strerror or error}"
+    try:
+        if probe.family != socket.AF_INET or probe.type != socket.SOCK_STREAM:
+            return f"descriptor {fd} is not an IPv4 TCP socket"
+        if not probe.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            return f"descriptor {fd} is a socket that does not listen"
+        return ""
+    finally:
+        probe.detach()  # guards against closing what the platform holds for every process
+
+
+def adopt(reactor: Any, fd: int, factory: Factory) -> Deferred[Any]:
+    """Accept on a listening socket that was inherited; fires with the port, which holds a copy of fd."""
+    made: Deferred[Any] = Deferred()
+    try:
+        # Danger: the platform may hand the socket over blocking. Twisted accepts until there is nothing
+        # left, and where another process took the connection first, accept() would stall the reactor.
+        os.set_blocking(fd, False)
+        port = reactor.adoptStreamPort(fd, socket.AF_INET, factory)
+    except Exception as error:  # any reason not to serve ends the daemon, with its text
+        made.errback(error)
+    else:
+        made.callback(port)
+    return made
--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -270,6 +270,7 @@
         if attempt.offer.number:
             meta["key"] = attempt.offer.number
         connection.say({"kind": "launch", "uid": attempt.offer.uid, "meta": meta, "body": attempt.offer.body})
+        self.back.core.written(attempt)
 
     def take_back(self, leg: Leg, unanswered: bool = False) -> None:
         """Give a set-up up, or release a call."""
--- a/bitternbeam/net/sip/back.py
+++ b/bitternbeam/net/sip/back.py
@@ -89,6 +89,7 @@
         self.legs[attempt.call] = leg
         leg.invite = self.transactions.request(request, hop, self)
         self.by_invite[leg.invite] = leg
+        self.core.written(attempt)
 
     def give_up(self, attempt: Attempt) -> bool:
         """Cancel an INVITE as soon as that is allowed; its end is told when it has come (9.1)."""
--- a/bitternbeam/wiring/daemon.py
+++ b/bitternbeam/wiring/daemon.py
@@ -44,6 +44,8 @@
             made = part.start()
             if made is not None:
                 made.addErrback(self._cannot_listen)
+            if self.status:
+                return  # guards against serving on an address while the daemon is already ending
 
     def _cannot_listen(self, failure: Failure) -> None:
         self.status = 1
--- a/bitternbeam/wiring/parts.py
+++ b/bitternbeam/wiring/parts.py
@@ -51,6 +51,10 @@
     def closing(self) -> None:
         """Take no further connections where that can be told already; requests are still served."""
 
+    def ready(self) -> bool:
+        """Tell whether it can serve: listening, with a list of bookers."""
+        return True
+
     def last_orders(self) -> None:
         """Take no further requests."""
 
--- a/bitternbeam/wiring/platform.py
+++ b/bitternbeam/wiring/platform.py
@@ -8,7 +8,7 @@
 from bitternbeam.config import ConfigError, read_config
 from bitternbeam.core.control import CallControl
 from bitternbeam.decision.choice import Controller
-from bitternbeam.net.connect import listen
+from bitternbeam.net.connect import adopt, listen
 from bitternbeam.net.platform.back import PlatformBack
 from bitternbeam.net.platform.board import NoticeBoard
 from bitternbeam.net.platform.front import PlatformFront
@@ -46,7 +46,10 @@
     def start(self) -> Any:
         """Listen and follow the board."""
         config = self.common.config
-        made = listen(self.common.reactor, config.host, config.port, self.front)
+        if config.inherited_fd is not None:
+            made = adopt(self.common.reactor, config.inherited_fd, self.front)
+        else:
+            made = listen(self.common.reactor, config.host, config.port, self.front)
         made.addCallback(self._listening)
         self.board.start()
         return made
@@ -56,9 +59,20 @@
         config = self.common.config
         log.info("%s listens on %s:%d", config.name, config.host, port.getHost().port)
 
+    def ready(self) -> bool:
+        """Tell whether calls can be taken: listening, and the list of bookers told."""
+        return self.port is not None and self.core.has_list
+
     def closing(self) -> None:
-        """Let idle connections go from here on."""
+        """Let idle connections go from here on.
+
+        On an inherited socket the process beside this one accepts what still comes: this one takes no
+        more, so that no connection waits in a queue that nobody here will read.
+        """
         self.front.closing = True
+        if self.common.config.inherited_fd is not None and self.port:
+            self.port.stopListening()
+            self.port = None
 
     def reload(self) -> None:
         """Read the configuration anew and follow the board that it names; a bad file changes nothing.
@@ -79,6 +93,7 @@
         """Close everything once what was written has left."""
         if self.port:
             self.port.stopListening()
+            self.port = None
         self.board.stop()
         self.front.close_all()
         self.back.close_all()
--- a/bitternbeam/wiring/run.py
+++ b/bitternbeam/wiring/run.py
@@ -11,6 +11,7 @@
 from twisted.internet import reactor as installed_reactor
 
 from bitternbeam.config import Config, ConfigError, read_config
+from bitternbeam.net.connect import listening_socket_problem
 from bitternbeam.wiring.daemon import Daemon
 from bitternbeam.wiring.files import read_plugin, read_sip
 from bitternbeam.wiring.platform import PlatformPart
@@ -18,8 +19,14 @@
 
 def build(reactor: Any, config: Config) -> Daemon:
     """Put the platform's daemon together; raises ConfigError."""
+    if config.inherited_fd is not None and (problem := listening_socket_problem(config.inherited_fd)):
+        raise ConfigError(f"GW_INHERITED_FD: {problem}")
     daemon = Daemon(reactor, config)
     daemon.parts.append(PlatformPart(daemon.common))
+    if config.admin is not None:
+        from bitternbeam.wiring.admin import AdminPart  # noqa: PLC0415 - only where an admin address is set
+
+        daemon.parts.insert(0, AdminPart(daemon, config.admin))  # its address is tried first
     sip = read_sip(Path(os.environ.get("BITTERNBEAM_SIP", "deploy/sip.toml")), config.settings)
     if sip is not None:
         from bitternbeam.wiring.sip import SipPart  # noqa: PLC0415 - off on the platform
