Take a booker for dead when it refuses beside silent connections and fails a test

A trace of n20: the call stood on s- from 13.8 s; the booker was listed draining at 18.2 s; from 21.6 s every new connection was refused while three old ones stayed open and silent; the call was cut only when the pool was buried, 2 s after 'gone' at 25.8 s, past the 8 s that the rule allows after the call's end.

Ruled out: a lost list (draining and gone came in time), a lost release on a closed connection (none was closed before 24.4 s), the board. Wrong lines: Pool._no_connection returned on 'refused' whenever any connection was open, taking a dead process for a full one, so watch() could never end what stood there.

Change: refused counts as 'full' only while the booker was heard within booker_silent_us; halfway through a silence watch() sends one test on a connection, which a live booker passes at once, so that a full but quiet booker keeps its calls. tests/test_platform.py causes both: a dead booker's call is told cut within the rule's 8 s, a live full one keeps its call; both fail on the old lines.

--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -62,6 +62,9 @@
     standing: bool = False
 
 
+PROBE = "0" * 16  # the id of a test, which names no call
+
+
 class BookerConnection(JsonLines):
     """One connection to a booker."""
 
@@ -126,6 +129,7 @@
         self.answered_us = 0  # when the latest of the set-ups it answered was sent
         self.stillborn = 0  # connections in a row that ended before anything came on them
         self.full_until_us = 0  # it took no further connection: ask for no spare until then
+        self.probed_us = 0  # a test was sent on a connection that had gone quiet
         self.retired = False
         self.again: Deadline | None = None
         self.closed = False
@@ -181,8 +185,10 @@
         self.back.counters.add("booker.no_connection")
         refused = failure.check("twisted.internet.error.ConnectionRefusedError") is not None
         silent = now_us - self.heard_us > limits.booker_silent_us
-        if self.connections and (refused or not silent):
+        if self.connections and not silent:
             return  # it takes no more of them
+        # Danger: a booker whose process has died may leave its connections open and silent; refused
+        # beside them was taken for 'full', and what stood there was never told as cut.
         for connection in self.connections[:]:
             connection.drop("silent")
         for leg in list(self.legs.values()):
@@ -225,10 +231,19 @@
                 self._connect_later()
 
     def watch(self) -> None:
-        """See after a booker that has not been heard for long while calls are there."""
-        now_us = self.back.deadlines.now_us()
-        if self.legs and now_us - self.heard_us > self.back.limits.booker_silent_us:
+        """See after a booker that has not been heard for long while calls are there.
+
+        Halfway through the silence a test goes out on one connection: a live booker passes it at once,
+        so that a silence to its end means a dead process, whatever new connections then meet.
+        """
+        now_us, silent_us = self.back.deadlines.now_us(), self.back.limits.booker_silent_us
+        if not self.legs:
+            return
+        if now_us - self.heard_us > silent_us:
             self.connect()
+        elif self.connections and now_us - self.heard_us > silent_us // 2 and self.probed_us <= self.heard_us:
+            self.probed_us = now_us
+            self._best().say({"kind": "check", "uid": PROBE, "meta": {}, "reason": 0})
 
     def cut_all(self) -> None:
         """End whatever was there."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from collections.abc import Iterator
 from functools import partial
 from itertools import count
@@ -399,3 +400,37 @@
     assert not stage.front.by_uid and not stage.front.callers and len(stage.front.resting) == 0
     assert not stage.module.calls and not stage.module.waiting and list(stage.core.listed_as) == ["s0"]
     assert list(stage.module.switches) == ["s0"] and not stage.module.first_tries.keys() - {"n"}
+
+
+class Alive(Peer):
+    """A booker's connection that passes tests, as a live booker does."""
+
+    def lineReceived(self, line: bytes) -> None:
+        super().lineReceived(line)
+        if self.got[-1]["kind"] == "check":
+            self.say("checked", self.got[-1]["uid"], reason=1)
+
+
+@pytest.mark.parametrize("alive", [False, True])
+def test_a_booker_that_refuses_new_connections_beside_silent_ones_is_dead_only_if_it_fails_a_test(
+    stage: Stage, alive: bool
+) -> None:
+    # Its process died and left its connections open and silent: refused beside them was taken for full,
+    # and the call that stood there was never told as cut (mass bench, herd day: lost, 8 s after its end).
+    # A live booker that is merely full passes the test and keeps its call.
+    booker = stage.launch(ID)
+    booker.say("running", ID, body="x")
+    until(lambda: stage.caller.kinds(ID))
+    if alive:
+        for one in stage.bookers:
+            one.__class__ = Alive
+    stage.ports[0].stopListening()
+    started = time.monotonic()
+    if alive:
+        pause(2 * LIMITS.booker_silent_us / 1e6)
+        assert stage.caller.kinds(ID) == [("running", None)]
+        assert any(m["kind"] == "check" for one in stage.bookers for m in one.got)
+    else:
+        until(lambda: len(stage.caller.kinds(ID)) == 2, 7.5)  # within the 8 s that the rule allows
+        assert stage.caller.kinds(ID)[1] == ("stop", 41)
+        assert time.monotonic() - started < 7.5
