--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -174,8 +174,8 @@
 
     @property
     def active(self) -> int:
-        """Return the calls taken whose final answer is still owed."""
-        return sum(1 for call in self.by_uid.values() if call.state is State.PENDING)
+        """Return the calls taken that have not ended: waiting for their answer, or standing."""
+        return len(self.calls)
 
     def progressed(self, attempt: Attempt) -> None:
         """Take word that a booker is at it."""
--- a/bitternbeam/figures/counts.py
+++ b/bitternbeam/figures/counts.py
@@ -1,8 +1,9 @@
 """Counts of requests by class and outcome, from the start of the process.
 
 Operators' page (Day-to-day service, Numbers): for each class, `ok` the requests served, `shed` those
-refused, `errors` those failed, `tries` the attempts written whole to bookers; `active` the requests
-taken and not yet answered; `pool_size` the listed bookers; `pool_ejected` those listed that are avoided.
+refused, `errors` those failed; `tries` the attempts written whole to bookers (one number over all
+classes); `active` the requests taken and not yet ended, calls that stand included; `pool_size` the
+listed bookers; `pool_ejected` those listed that are avoided.
 The counts are bumped by the core at the moment of each event, so a read is never older than the read.
 """
 
@@ -49,7 +50,12 @@
 def snapshot(
     counts: Mapping[str, Mapping[str, int]], active: int, pool_size: int, pool_ejected: int
 ) -> dict[str, object]:
-    """Return the object that `vars` prints, with its keys in the operators' order."""
+    """Return the object that `vars` prints, with its keys in the operators' order.
+
+    `tries` is one number over all classes, as the operators' scraper reads it; `tries_by_class` splits it.
+    """
     shown: dict[str, object] = {kind: dict(counts.get(kind, {})) for kind in KINDS}
+    by_class = dict(counts.get("tries", {}))
+    shown.update(tries=sum(by_class.values()), tries_by_class=by_class)
     shown.update(active=active, pool_size=pool_size, pool_ejected=pool_ejected)
     return shown
--- a/bitternbeam/net/admin.py
+++ b/bitternbeam/net/admin.py
@@ -1,7 +1,7 @@
 """The operators' address: one line a connection in, one answer out, within a second whatever the load.
 
 Operators' page (Day-to-day service, Where operators call): `check` is answered `+OK yes` once the process
-can serve; `vars` is answered `+OK`, the figures as one JSON line, then a line `.`. Anything else is
+can serve; `vars` is answered with the figures as one JSON line, then a line `.`. Anything else is
 answered `-ERR` with its cause, and the connection is closed after every answer.
 """
 
@@ -129,5 +129,9 @@
 
 
 def render_vars(figures: dict[str, object]) -> str:
-    """Return the answer to `vars`: +OK, the figures as one JSON line, and the closing dot."""
-    return "+OK\n" + json.dumps(figures, separators=(",", ":")) + "\n."
+    """Return the answer to `vars`: the figures as one JSON line, then the closing dot.
+
+    The figures stand in the first line themselves, as the operators' page shows them and their
+    scraper reads them: a `+OK` before them made every figure unreadable there.
+    """
+    return json.dumps(figures, separators=(",", ":")) + "\n."
