--- a/bitternbeam/config.py
+++ b/bitternbeam/config.py
@@ -78,9 +78,12 @@
         admin_connections=max(4, min(32, sockets // 32)),
     )
     name = environment.get("GW_NAME") or str(raw.get("name", ""))
-    told = environment.get("GW_ADMIN")
-    admin_text = told or raw.get("admin")
-    admin = read_address("GW_ADMIN" if told else "admin", admin_text) if admin_text else None
+    admin_text = environment.get("GW_ADMIN") or raw.get("admin")
+    admin = (
+        read_address("GW_ADMIN" if environment.get("GW_ADMIN") else "admin", admin_text)
+        if admin_text
+        else None
+    )
     inherited = environment.get("GW_INHERITED_FD", "").strip()
     if inherited and not inherited.isdecimal():
         raise ConfigError(f"GW_INHERITED_FD: {inherited!r} is not a descriptor number")
--- a/bitternbeam/net/admin.py
+++ b/bitternbeam/net/admin.py
@@ -103,8 +103,9 @@
     def buildProtocol(self, addr: IAddress | None) -> AdminConnection:
         """Take a connection; at the limit the oldest one goes first."""
         while self.connections.full and self.oldest:
-            oldest = next(iter(self.oldest.values()))
-            self.closed(oldest)
+            _, oldest = self.oldest.popitem(last=False)
+            self.connections.take(oldest.handle)
+            oldest.handle = 0
             oldest.make_room()
         return AdminConnection(self)
 
