--- a/bitternbeam/configuration/node.py
+++ b/bitternbeam/configuration/node.py
@@ -17,6 +17,7 @@
 from bitternbeam.configuration.lines import placed
 from bitternbeam.configuration.reading import field_of, read_tables, read_toml
 from bitternbeam.configuration.schema import Address, AnyEntry, Entry, Key
+from bitternbeam.fleet.lease import LeaseTimes, faults
 
 Text = Annotated[str, Meta(max_length=1024)]
 
@@ -46,8 +47,51 @@
     server_name: Annotated[Text, Meta(description="that its certificate must hold")] = ""
 
 
+class Fleet(Entry, frozen=True):
+    """Work done once for the fleet, under leases on an engine: [fleet] (docs/fleet.md)."""
+
+    engine: Annotated[Address, Meta(description="the Consul agent, host:port")] = ""
+    token: Annotated[Text, Meta(description="X-Consul-Token, if the agent asks for one")] = ""
+    name: Annotated[Text, Meta(description="this member's name; unique in the fleet")] = ""
+    service: Annotated[Text, Meta(description="the service the members register as")] = "bitternbeam"
+    prefix: Annotated[Text, Meta(description="KV folder of the leases")] = "bitternbeam/fleet"
+    ttl_ms: Annotated[int, Meta(ge=1, description="session TTL")] = 10_000
+    lock_delay_ms: Annotated[int, Meta(ge=0, description="the engine holds a lapsed lock back so long")] = (
+        1_000
+    )
+    margin_ms: Annotated[int, Meta(ge=0, description="stop so long before the TTL")] = 2_000
+    pause_ms: Annotated[int, Meta(ge=1, description="a gap in ticks longer than this is a pause")] = 1_000
+    tick_ms: Annotated[int, Meta(ge=10, le=10_000, description="how often leases are looked at")] = 100
+    probe_ms: Annotated[int, Meta(ge=10, le=600_000, description="between two probes of one booker")] = 500
+    probes: Annotated[
+        tuple[Annotated[str, Meta(pattern=r"^[^\s=]+=[^\s:]+:[0-9]{1,5}$")], ...],
+        Meta(max_length=4096, description="bookers probed for the fleet, NAME=host:port"),
+    ] = ()
+
+
+def lease_faults(fleet: Fleet) -> list[Fault]:
+    """Return what in a [fleet] section cannot work, each naming its key (fleet.lease.faults)."""
+    found = [Fault(f"fleet.{key}", what) for key, what in faults(lease_times(fleet))]
+    if not fleet.engine:
+        found.append(Fault("fleet.engine", "names no engine: give the Consul agent as host:port"))
+    if not fleet.name:
+        found.append(Fault("fleet.name", "no member name: give one that is unique in the fleet"))
+    return found
+
+
+def lease_times(fleet: Fleet) -> LeaseTimes:
+    """Return the lease times of a [fleet] section, in microseconds."""
+    return LeaseTimes(
+        ttl_us=fleet.ttl_ms * 1000,
+        lock_delay_us=fleet.lock_delay_ms * 1000,
+        margin_us=fleet.margin_ms * 1000,
+        pause_us=fleet.pause_ms * 1000,
+        tick_us=fleet.tick_ms * 1000,
+    )
+
+
 TLS = ("certificate", "key", "authority", "server_name")
-LOCAL: dict[str, type[Entry]] = {"node": Node, "control": Control}
+LOCAL: dict[str, type[Entry]] = {"node": Node, "control": Control, "fleet": Fleet}
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +102,7 @@
     node: Node
     control: Control
     entries: dict[Key, AnyEntry]
+    fleet: Fleet | None = None
 
     def beside(self, name: str) -> Path:
         """Return a path that the file names, seen from its folder."""
@@ -95,10 +140,15 @@
         raise DocumentError([Fault("", getattr(error, "strerror", None) or str(error), str(path))]) from None
     faults: list[Fault] = []
     entries: dict[Key, AnyEntry] = {}
-    node, control = Node(), Control()
+    node, control, fleet = Node(), Control(), None
     try:
         raw = read_toml(text)
         node, control = read_local(raw, "node", faults), read_local(raw, "control", faults)
+        if "fleet" in raw:
+            before = len(faults)
+            fleet = read_local(raw, "fleet", faults)
+            if len(faults) == before:
+                faults += lease_faults(fleet)
         given = [name for name in TLS if getattr(control, name)]
         if given and len(given) < len(TLS):
             faults.append(
@@ -109,4 +159,4 @@
         faults += error.faults
     if faults:
         raise DocumentError(placed(tuple(faults), text, str(path)))
-    return Site(path, node, control, entries)
+    return Site(path, node, control, entries, fleet)
