--- a/bitternbeam/wiring/configured.py
+++ b/bitternbeam/wiring/configured.py
@@ -440,6 +440,11 @@
     keeper.checks.append(plugin.check)
     keeper.watchers.append(plugin)
     daemon.parts.append(configuration)
+    if site.fleet is not None:
+        from bitternbeam.wiring.fleet import Member  # noqa: PLC0415 - only where [fleet] is on
+
+        common = daemon.common
+        daemon.parts.append(Member(common.reactor, common.deadlines, common.counters, site.fleet))
     if site.node.socket:
         daemon.parts.append(OperatorsPart(daemon, configuration, site.beside(site.node.socket)))
     return daemon
