--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -31,3 +31,16 @@
             ("bitternbeam.core", "bitternbeam.decision", "bitternbeam.tables", "bitternbeam.figures")
         ):
             assert not [one for one in used if one.startswith(("twisted", "zope", "bitternbeam.net"))], name
+
+
+def test_the_fleets_decisions_know_nobody() -> None:
+    # Leases, tokens and owners are decided from what they are told: no wire, no clock, no other part.
+    for name, used in imports().items():
+        if name.startswith("bitternbeam.fleet"):
+            outside = {
+                one
+                for one in used
+                if one.startswith("bitternbeam.") and not one.startswith("bitternbeam.fleet")
+            }
+            assert not outside, name
+            assert not used & {"twisted", "time", "random", "socket", "asyncio"}, name
