Let the session drop itself after a TTL unrenewed; one register call; plainer branches

Read once more: the member (wiring/fleet.py) and the model (tests/fleet_model.py) each dropped a session after a TTL without a confirmed renewal, the same three lines beside Session.tick; that rule now stands in Session.tick, where the pure lease lives. The member registered from two places with the same call, now _register(); a conditional expression used as a statement is an if. In lease.faults the condition sure < 2/3 of a renewal period was implied by sure <= one period and is dropped. The stand-in's restart calls Request.loseConnection, which every request has. No behaviour changes.

--- a/bitternbeam/fleet/lease.py
+++ b/bitternbeam/fleet/lease.py
@@ -55,7 +55,7 @@
         found.append(("margin_ms", "must cover a pause and one tick"))
     if times.ttl_us < 1_000_000 or times.ttl_us > 86_400_000_000:
         found.append(("ttl_ms", "must be between 1 s and 86400 s"))
-    elif times.sure_us < 2 * times.renew_every_us // 3 or times.sure_us <= times.renew_every_us:
+    elif times.sure_us <= times.renew_every_us:
         found.append(("ttl_ms", "leaves no room for two renewals beside the margin"))
     if times.lock_delay_us < 0 or times.lock_delay_us > 60_000_000:
         found.append(("lock_delay_ms", "must be between 0 and 60 s"))
@@ -74,12 +74,17 @@
         self.pauses = 0
 
     def tick(self, now_us: int) -> bool:
-        """Note the time; True when a pause was seen since the last tick."""
+        """Note the time; True when a pause was seen since the last tick.
+
+        A session not renewed for a whole TTL by the own clock is dropped: the engine may have let it go.
+        """
         paused = now_us - self.last_tick_us > self.times.pause_us
         self.last_tick_us = max(self.last_tick_us, now_us)
         if paused:
             self.pauses += 1
             self.woke_us = now_us
+        if self.confirmed_us is not None and now_us >= self.confirmed_us + self.times.ttl_us:
+            self.lapsed()
         return paused
 
     def sure(self, now_us: int) -> bool:
--- a/bitternbeam/wiring/fleet.py
+++ b/bitternbeam/wiring/fleet.py
@@ -62,9 +62,13 @@
 
     def start(self) -> None:
         """Register, then look at the leases every tick."""
-        self._ask("register", self.api.register(self.fleet.service, self.fleet.name, self.fleet.ttl_ms, {}))
+        self._register()
         self._tick()
 
+    def _register(self) -> None:
+        """Register as an instance of the service, with a TTL check that the member passes."""
+        self._ask("register", self.api.register(self.fleet.service, self.fleet.name, self.fleet.ttl_ms, {}))
+
     def stop(self) -> None:
         """Send nothing more; the session lapses at the engine by its TTL (or was destroyed)."""
         self.stopped = True
@@ -109,9 +113,6 @@
         now = self.deadlines.now_us()
         if self.session.tick(now):
             log.info("fleet: %s was paused; leases are checked before acting", self.fleet.name)
-        confirmed = self.session.confirmed_us
-        if confirmed is not None and now >= confirmed + self.times.ttl_us:
-            self.session.lapsed()  # by the own clock the engine may have let it go
         self._session_steps(now)
         if "members" not in self.asking:
             self._ask(
@@ -147,10 +148,10 @@
             held = session.id
 
             def renewed(reply: Reply) -> None:
-                if reply.code == 404:
-                    session.lapsed() if session.id == held else None
-                else:
+                if reply.code != 404:
                     session.renewed(held, now)
+                elif session.id == held:
+                    session.lapsed()
 
             self._ask("renew", self.api.renew(held), renewed)
         if now >= self.passed_us + self.times.renew_every_us and "pass" not in self.asking:
@@ -158,10 +159,7 @@
 
             def passed(reply: Reply) -> None:
                 if reply.code == 404:  # the engine forgot the service: register again
-                    self._ask(
-                        "register",
-                        self.api.register(self.fleet.service, self.fleet.name, self.fleet.ttl_ms, {}),
-                    )
+                    self._register()
 
             self._ask("pass", self.api.pass_check(self.fleet.name), passed)
 
--- a/standins/consul.py
+++ b/standins/consul.py
@@ -461,9 +461,7 @@
             self.engine.restart()
             for held, _index, _answer in self.held:
                 if not held.finished:
-                    held.loseConnection() if hasattr(
-                        held, "loseConnection"
-                    ) else held.transport.loseConnection()
+                    held.loseConnection()
             self.held = []
         elif what == "slow":
             self.faults.slow_ms = int(args.get("ms", "0"))
--- a/tests/fleet_model.py
+++ b/tests/fleet_model.py
@@ -57,9 +57,6 @@
         for one in self.processes:
             if not one.paused:
                 one.session.tick(self.now_us)
-                confirmed = one.session.confirmed_us
-                if confirmed is not None and self.now_us >= confirmed + TIMES.ttl_us:
-                    one.session.lapsed()  # by its own clock the engine may have let it go
 
     def send(self, one: Process) -> None:
         """Let a running process send what it wants: a session, a renewal, or its claim's next step."""
