Add the fleet laboratory, the fault relay, the pool view and the version record

The laboratory (bitternbeam lab owners) starts the stand-in engine, receivers, the fault relay and N members as processes, kills and pauses owners, and counts from the receivers' logs. The member follows one watch of all leases and records; the view's owner reconciles the directory with the probes' word, the version's owner commits the version that proved good; records are written by check-and-set under the fencing token. Members are damped, stand aside from what they can't reach, and count the largest recent fleet.

--- a/bitternbeam/commands/main.py
+++ b/bitternbeam/commands/main.py
@@ -233,6 +233,35 @@
     sys.exit(looked_up(table, called, at, **call))
 
 
+@cli.group()
+def lab() -> None:
+    """Start a fleet of real processes, inject faults, and count at the receivers (from a checkout)."""
+
+
+@lab.command()
+@click.option("--processes", default=5, show_default=True, type=click.IntRange(2, 200))
+@click.option("--bookers", default=8, show_default=True, type=click.IntRange(1, 200))
+@click.option(
+    "--cycles", default=20, show_default=True, type=click.IntRange(0), help="Of each kind of fault."
+)
+@click.option(
+    "--fault", "faults", multiple=True, type=click.Choice(["kill", "pause"]), help="Both unless said."
+)
+@click.option("--ttl-ms", default=2_000, show_default=True, type=click.IntRange(1_000))
+@click.option("--lock-delay-ms", default=300, show_default=True, type=click.IntRange(0, 60_000))
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--logs", type=click.Path(path_type=Path), help="Folder kept with all logs and their timeline.jsonl."
+)
+@click.option("--plot", type=click.Path(path_type=Path), help="Draw the ownership timeline (matplotlib).")
+@AS_JSON
+def owners(faults: tuple[str, ...], logs: Path | None, as_json: bool, **told: Any) -> None:
+    """Kill and pause owners of the fleet's work; print takeover times, stale acts and overlaps."""
+    from bitternbeam.commands.lab import run_owners  # noqa: PLC0415 - no other command needs it
+
+    sys.exit(run_owners(faults or ("kill", "pause"), logs, as_json, **told))
+
+
 @cli.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/bitternbeam/configuration/node.py
+++ b/bitternbeam/configuration/node.py
@@ -67,6 +67,22 @@
         tuple[Annotated[str, Meta(pattern=r"^[^\s=]+=[^\s:]+:[0-9]{1,5}$")], ...],
         Meta(max_length=4096, description="bookers probed for the fleet, NAME=host:port"),
     ] = ()
+    directory: Annotated[
+        Text, Meta(description="service whose instances make the SIP side's pool view; none unless said")
+    ] = ""
+    transport: Annotated[Literal["udp", "tcp"], Meta(description="of instances that do not say")] = "udp"
+    view_age_ms: Annotated[
+        int, Meta(ge=100, le=3_600_000, description="a published record is believed for so long")
+    ] = 30_000
+    gone_ms: Annotated[
+        int, Meta(ge=100, le=3_600_000, description="an instance left out drains, and is gone after")
+    ] = 10_000
+    recent_ms: Annotated[
+        int, Meta(ge=1_000, le=86_400_000, description="shares assume the largest fleet seen within")
+    ] = 600_000
+    ramp_step_ms: Annotated[
+        int, Meta(ge=100, le=600_000, description="a returning booker's share doubles after each")
+    ] = 5_000
 
 
 def lease_faults(fleet: Fleet) -> list[Fault]:
@@ -74,6 +90,11 @@
     found = [Fault(f"fleet.{key}", what) for key, what in faults(lease_times(fleet))]
     if not fleet.engine:
         found.append(Fault("fleet.engine", "names no engine: give the Consul agent as host:port"))
+    names = [one.partition("=")[0] for one in fleet.probes]
+    for name in sorted({one for one in names if names.count(one) > 1}):
+        found.append(Fault("fleet.probes", f"booker {name!r} stands there twice"))
+    if "," in fleet.name or "@" in fleet.name or "/" in fleet.name:
+        found.append(Fault("fleet.name", "may hold no comma, @ or /"))
     if not fleet.name:
         found.append(Fault("fleet.name", "no member name: give one that is unique in the fleet"))
     return found
@@ -90,6 +111,7 @@
     )
 
 
+TWO_DIRECTORIES = "names a directory beside fleet.directory; keep one"
 TLS = ("certificate", "key", "authority", "server_name")
 LOCAL: dict[str, type[Entry]] = {"node": Node, "control": Control, "fleet": Fleet}
 
@@ -155,6 +177,8 @@
                 Fault(f"control.{given[0]}", "TLS needs certificate, key, authority and server_name")
             )
         entries = read_tables(raw)
+        if fleet is not None and fleet.directory and any(key[0] == "consul" for key in entries):
+            faults.append(Fault("consul.addr", TWO_DIRECTORIES))
     except DocumentError as error:
         faults += error.faults
     if faults:
--- a/bitternbeam/fleet/lease.py
+++ b/bitternbeam/fleet/lease.py
@@ -36,6 +36,21 @@
         """Renew three times a TTL, so that two lost renewals do not lose the lease."""
         return self.ttl_us // 3
 
+    @property
+    def retry_us(self) -> int:
+        """Wait so long after an acquire that was refused: a part of the lock-delay, 100 ms at least."""
+        return max(self.lock_delay_us // 4, 100_000)
+
+    @property
+    def settle_us(self) -> int:
+        """Hold work for so long before handing it over: two TTLs."""
+        return 2 * self.ttl_us
+
+    @property
+    def grace_us(self) -> int:
+        """Each place in line waits so much longer for a lock that lies free."""
+        return max(3 * self.tick_us, 300_000)
+
     @property
     def sure_us(self) -> int:
         """How long after sending a confirmed renewal the lease is surely still held."""
@@ -165,8 +180,9 @@
         self.stored = 0
         self.busy = False
         self.under: str | None = None  # the session the lock was taken under: a new one holds nothing
-        self.not_before_us = 0  # a refused acquire waits: the lock-delay, or a TTL for a held lock
+        self.not_before_us = 0  # a refused acquire waits
         self.takeovers = 0
+        self.held_since_us = 0  # when the lock was granted last
 
     def step(self, now_us: int, session: Session, wanted: bool) -> Step | None:
         """Return the next step to send, or None; the caller marks it sent by sending it."""
@@ -220,9 +236,10 @@
             self.phase = Phase.FENCING
             self.counter_index = -1
             self.takeovers += 1
+            self.held_since_us = now_us
         else:
             self.phase = Phase.FOLLOWING
-            self.not_before_us = now_us + self.times.lock_delay_us
+            self.not_before_us = now_us + self.times.retry_us
 
     def counter_read(self, stored: int, modify_index: int) -> None:
         """Take the token counter as the engine has it: its number and ModifyIndex (0 both when absent)."""
--- /dev/null
+++ b/bitternbeam/fleet/membership.py
@@ -0,0 +1,152 @@
+"""Who is in the fleet: members as the catalogue tells them, damped, and how large the fleet may be.
+
+A member that has just come counts for ownership only once it has been there steadily for a while, and
+longer after each time it left (route flap damping, RFC 2439, with a doubling instead of a penalty that
+decays): a member that flaps between the engine and the net must not drag its work to and fro. One that
+left counts no more at once, since its lease lapses with it.
+
+The size that shares are divided by errs safe: the largest fleet seen within `recent_us`, so that an engine
+that loses half of the members for a moment lets nobody send more. Times are microseconds, handed in.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from bitternbeam.fleet.rendezvous import weight
+
+DOUBLINGS = 3  # a member that left often settles for at most so many doublings of settle_us
+ASIDE_MOST = 2  # past so many members that can't reach a receiver, it is the receiver that fails
+
+
+@dataclass(frozen=True, slots=True)
+class Damping:
+    """How long a member has to stay before it counts, and for how long a size or a leaving is remembered."""
+
+    settle_us: int
+    recent_us: int
+
+
+@dataclass(slots=True)
+class _Seen:
+    since_us: int
+    left: int = 0  # times it left and came back within recent_us
+    left_us: int | None = None
+    aside: frozenset[str] = frozenset()
+
+
+class Roster:
+    """The members as told, from one member's own view. `me` always counts."""
+
+    def __init__(self, me: str, damping: Damping, now_us: int) -> None:
+        self.me = me
+        self.damping = damping
+        self.seen: dict[str, _Seen] = {}
+        self.told_us: int | None = None
+        self.sizes: deque[tuple[int, int]] = deque([(now_us, 1)])  # (time, size), newest last
+        self.asides: frozenset[str] = frozenset()  # what `me` stands aside from
+
+    def told(self, members: Mapping[str, frozenset[str]], now_us: int) -> bool:
+        """Take the catalogue's passing members, each with the work it stands aside from; True if changed.
+
+        Those in the first answer count at once: nothing says that they have just come.
+        """
+        first = self.told_us is None
+        self.told_us = now_us
+        before = self.present()
+        for name, aside in members.items():
+            one = self.seen.get(name)
+            if one is None:
+                since = now_us - self.damping.settle_us if first else now_us
+                self.seen[name] = _Seen(since, aside=aside)
+                continue
+            one.aside = aside
+            if one.left_us is not None:
+                if now_us - one.left_us > self.damping.recent_us:
+                    one.left = 0
+                one.left_us, one.since_us = None, now_us
+                one.left += 1
+        for name, one in list(self.seen.items()):
+            if name in members:
+                continue
+            if one.left_us is None:
+                one.left_us = now_us
+            elif now_us - one.left_us > self.damping.recent_us:
+                del self.seen[name]
+        now = self.present()
+        self._note_size(len(now), now_us)
+        return now != before
+
+    def present(self) -> set[str]:
+        """Return the members told last, and `me`."""
+        return {name for name, one in self.seen.items() if one.left_us is None} | {self.me}
+
+    def steady(self, now_us: int) -> list[str]:
+        """Return the members that count for ownership now, in order of their names."""
+        found = {self.me}
+        for name, one in self.seen.items():
+            settle_us = self.damping.settle_us << min(one.left, DOUBLINGS)
+            if one.left_us is None and now_us - one.since_us >= settle_us:
+                found.add(name)
+        return sorted(found)
+
+    def place(self, work: str, now_us: int) -> int:
+        """Return the place of `me` for a piece of work: 0 owns it, 1 stands by first, and so on.
+
+        Members that stand aside from it come last; if all do, the order is as if none did.
+        """
+        return self.order(work, now_us).index(self.me)
+
+    def order(self, work: str, now_us: int) -> list[str]:
+        """Return the steady members as they stand in line for a piece of work."""
+        return sorted(
+            self.steady(now_us), key=lambda name: (self._aside(name, work), -weight(name, work), name)
+        )
+
+    def _aside(self, name: str, work: str) -> bool:
+        if name == self.me:
+            return work in self.asides
+        return work in self.seen[name].aside
+
+    def may_stand_aside(self, work: str) -> bool:
+        """Whether `me` may stand aside: someone else is there, and few enough have done so already."""
+        others = [one for name, one in self.seen.items() if name != self.me and one.left_us is None]
+        return bool(others) and sum(work in one.aside for one in others) < min(ASIDE_MOST, len(others))
+
+    def size(self, now_us: int) -> int:
+        """Return the largest fleet seen within recent_us, at least 1: what shares are divided by."""
+        while len(self.sizes) > 1 and self.sizes[1][0] <= now_us - self.damping.recent_us:
+            self.sizes.popleft()
+        return max(size for _at, size in self.sizes)
+
+    def _note_size(self, size: int, now_us: int) -> None:
+        if self.sizes[-1][1] != size:
+            self.sizes.append((now_us, size))
+        self.size(now_us)  # lets go of what is too old
+
+
+class Standing:
+    """Whether a member acts with the fleet or alone: alone once no engine answer was good for a TTL.
+
+    Alone it takes on no work of the fleet; it looks after itself at one part in the fleet's size.
+    """
+
+    def __init__(self, ttl_us: int, now_us: int) -> None:
+        self.ttl_us = ttl_us
+        self.good_us = now_us
+        self.alone = False
+
+    def answered(self, now_us: int) -> bool:
+        """Note a good answer of the engine; True when the member is with the fleet again."""
+        self.good_us = now_us
+        back, self.alone = self.alone, False
+        return back
+
+    def tick(self, now_us: int) -> bool:
+        """Note the time; True when the member is alone from now on."""
+        if self.alone or now_us - self.good_us < self.ttl_us:
+            return False
+        self.alone = True
+        return True
--- /dev/null
+++ b/bitternbeam/lab/plots.py
@@ -0,0 +1,44 @@
+"""Plots of the laboratory's runs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import matplotlib as mpl
+
+mpl.use("Agg")
+from matplotlib import pyplot as plt
+
+from bitternbeam.lab.judging import Act, Held
+
+COLOURS = plt.get_cmap("tab20")
+
+
+def ownership(path: Path, held: list[Held], acts: list[Act], faults: list[tuple[int, str, str]]) -> None:
+    """Draw who held which work, the acts that were refused, and the faults."""
+    works = sorted({one.work for one in held})
+    holders = sorted({one.holder for one in held})
+    start = min(one.from_us for one in held)
+    end = max([*(one.at_us for one in acts), *(one.from_us for one in held)])
+    figure, axes = plt.subplots(figsize=(14, 1.5 + 0.4 * len(works)))
+    for one in held:
+        until = end if one.to_us is None else one.to_us
+        axes.barh(
+            works.index(one.work), (until - one.from_us) / 1e6, left=(one.from_us - start) / 1e6,
+            color=COLOURS(holders.index(one.holder) % 20), height=0.8,
+        )  # fmt: skip
+    refused = [one for one in acts if not one.accepted and one.work in works]
+    axes.plot(
+        [(one.at_us - start) / 1e6 for one in refused], [works.index(one.work) for one in refused], "kx",
+        label=f"refused acts ({len(refused)})",
+    )  # fmt: skip
+    for at_us, what, _whom in faults:
+        style = {"kill": "r-", "pause": "b-", "resume": "b:"}.get(what, "k:")
+        axes.axvline((at_us - start) / 1e6, color=style[0], linestyle=style[1:], linewidth=0.6)
+    for number, holder in enumerate(holders):
+        axes.barh(0, 0, color=COLOURS(number % 20), label=holder)
+    axes.set_yticks(range(len(works)), works)
+    axes.set_xlabel("seconds; red: kill, blue: pause and resume")
+    axes.legend(loc="upper center", bbox_to_anchor=(0.5, -0.25), ncol=8, fontsize=7)
+    figure.savefig(path, bbox_inches="tight", dpi=110)
+    plt.close(figure)
--- /dev/null
+++ b/bitternbeam/lab/processes.py
@@ -0,0 +1,114 @@
+"""Processes of the laboratory: started, signalled by id, and ended with it."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]  # the stand-ins live beside the package, in a checkout
+START_S = 60.0
+POLL_S = 0.01
+
+
+class LabError(Exception):
+    """Something of the laboratory did not come about; the text says what."""
+
+
+def wait_for(holds: Callable[[], object], seconds: float, what: str) -> None:
+    """Wait until it holds; raises LabError past the bound."""
+    end = time.monotonic() + seconds
+    while not holds():
+        if time.monotonic() > end:
+            raise LabError(f"{what}: not within {seconds:g} s")
+        time.sleep(POLL_S)
+
+
+class Process:
+    """One process; its standard error goes to a log file."""
+
+    def __init__(self, name: str, words: list[str], log: Path, environment: dict[str, str] | None = None):
+        self.name, self.words, self.log_path = name, words, log
+        self.environment = os.environ | (environment or {})
+        self.running: subprocess.Popen[bytes] | None = None
+        self.paused = False
+
+    def start(self) -> None:
+        """Start it (again); the log goes on."""
+        with self.log_path.open("ab") as log:
+            self.running = subprocess.Popen(
+                [sys.executable, "-B", *self.words],
+                cwd=ROOT,
+                env=self.environment,
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.DEVNULL,
+                stderr=log,
+            )
+        self.paused = False
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self.running is None or self.running.poll() is not None:
+            raise LabError(f"{self.name} does not run; its log is {self.log_path}")
+        self.running.send_signal(number)
+
+    def pause(self) -> None:
+        """SIGSTOP it."""
+        self._signal(signal.SIGSTOP)
+        self.paused = True
+
+    def resume(self) -> None:
+        """SIGCONT it."""
+        self._signal(signal.SIGCONT)
+        self.paused = False
+
+    def kill(self) -> None:
+        """SIGKILL it and wait for its end."""
+        self._signal(signal.SIGKILL)
+        assert self.running is not None
+        self.running.wait(10)
+
+    def terminate(self) -> int:
+        """SIGTERM it; returns its exit status."""
+        self._signal(signal.SIGTERM)
+        assert self.running is not None
+        return self.running.wait(30)
+
+    @property
+    def alive(self) -> bool:
+        """Whether it runs."""
+        return self.running is not None and self.running.poll() is None
+
+    def end(self) -> None:
+        """End it whatever it does."""
+        if self.alive:
+            assert self.running is not None
+            self.running.kill()
+            self.running.wait(10)
+
+
+class StandIn(Process):
+    """A stand-in that tells its port in a file once it listens."""
+
+    def __init__(self, name: str, module: str, folder: Path, *words: str) -> None:
+        self.ready = folder / f"{name}.port"
+        every = ["-m", module, "--ready-file", str(self.ready), *words]
+        super().__init__(name, every, folder / f"{name}.err")
+        self.port = 0
+
+    def start(self) -> None:
+        """Start it and wait for its port."""
+        if not (ROOT / "standins").is_dir():
+            raise LabError(f"the laboratory needs a checkout: there are no stand-ins beside {ROOT}")
+        self.ready.unlink(missing_ok=True)
+        super().start()
+        wait_for(lambda: not self.alive or self._told(), START_S, f"{self.name} listens")
+        if not self.alive:
+            raise LabError(f"{self.name} ended; its log is {self.log_path}")
+        self.port = int(self.ready.read_text())
+
+    def _told(self) -> bool:
+        return self.ready.exists() and self.ready.read_text().endswith("\n")
--- a/bitternbeam/net/coordination.py
+++ b/bitternbeam/net/coordination.py
@@ -46,18 +46,48 @@
 
 def entry_of(body: Any) -> KvEntry | None:
     """Read the first entry of a KV answer; None where there is none; raises BadReply for another shape."""
+    return next(iter(entries_of(body).values()), None)
+
+
+def entries_of(body: Any) -> dict[str, KvEntry]:
+    """Read a KV answer's entries by key, none for an empty body; raises BadReply for another shape."""
     if body is None:
-        return None
-    if not isinstance(body, list) or not body or not isinstance(body[0], dict):
+        return {}
+    if not isinstance(body, list) or not all(isinstance(one, dict) for one in body):
         raise BadReply("kv: not a list of entries")
-    first = body[0]
-    try:
-        raw = first.get("Value")
-        value = base64.b64decode(raw).decode() if raw else ""
-        session = first.get("Session")
-        return KvEntry(value, int(first["ModifyIndex"]), int(first.get("LockIndex", 0)), session or None)
-    except (KeyError, TypeError, ValueError) as error:
-        raise BadReply(f"kv: entry {error}") from None
+    found = {}
+    for one in body:
+        try:
+            raw = one.get("Value")
+            value = base64.b64decode(raw).decode(errors="replace") if raw else ""
+            index, locks = int(one["ModifyIndex"]), int(one.get("LockIndex", 0))
+            found[str(one["Key"])] = KvEntry(value, index, locks, one.get("Session") or None)
+        except (KeyError, TypeError, ValueError) as error:
+            raise BadReply(f"kv: entry {error!r}") from None
+    return found
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One passing member as the catalogue tells it: its name and the work it stands aside from."""
+
+    name: str
+    aside: frozenset[str]
+
+
+def members_of(body: Any) -> list[Member]:
+    """Read a health answer's instances as members; raises BadReply for another shape."""
+    if not isinstance(body, list):
+        raise BadReply("health: not a list of instances")
+    found = []
+    for item in body:
+        try:
+            service = item["Service"]
+            aside = str((service.get("Meta") or {}).get("aside", ""))
+            found.append(Member(str(service["ID"]), frozenset(one for one in aside.split(",") if one)))
+        except (KeyError, TypeError, AttributeError) as error:
+            raise BadReply(f"health: instance {error!r}") from None
+    return found
 
 
 @implementer(IAgentEndpointFactory)
@@ -74,8 +104,12 @@
         counters: Counters,
         call_us: int,
         token: str = "",
+        member: str = "",
     ) -> None:
         self.reactor = reactor
+        self.agent_name = (
+            f"bitternbeam/{member}" if member else "bitternbeam"
+        )  # whose requests an engine sees
         self.host, self.port, self.token = host, port, token
         self.deadlines, self.counters, self.call_us = deadlines, counters, call_us
         # An address needs no resolver: without this the agent starts threads for one.
@@ -97,7 +131,7 @@
         """Send one request; `wait_us` lengthens its deadline for a blocking query."""
         query = f"?{urlencode(args)}" if args else ""
         url = f"http://{self.host}:{self.port}{path}{query}"
-        headers = Headers({"Accept": ["application/json"]})
+        headers = Headers({"Accept": ["application/json"], "User-Agent": [self.agent_name]})
         if self.token:
             headers.addRawHeader("X-Consul-Token", self.token)
         producer = FileBodyProducer(_Bytes(body)) if body is not None else None
@@ -144,30 +178,42 @@
         """`PUT /v1/session/destroy/<id>`."""
         return self.call("PUT", f"/v1/session/destroy/{quote(session, safe='')}")
 
-    def kv_get(self, key: str, *, index: int = 0, wait_us: int = 0) -> Deferred[Reply]:
-        """`GET /v1/kv/<key>`, blocking past `index` for at most `wait_us` when both are given."""
-        args = {"index": str(index), "wait": f"{max(1, wait_us // 1_000_000)}s"} if index and wait_us else {}
-        return self.call("GET", f"/v1/kv/{quote(key)}", args, wait_us=wait_us if args else 0)
+    def kv_get(self, key: str) -> Deferred[Reply]:
+        """`GET /v1/kv/<key>`."""
+        return self.call("GET", f"/v1/kv/{quote(key)}")
+
+    def kv_watch(self, prefix: str, *, index: int, wait_us: int) -> Deferred[Reply]:
+        """`GET /v1/kv/<prefix>?recurse`: all keys below it, blocking past `index` (0: at once)."""
+        args = {"recurse": "true"} | _blocking(index, wait_us)
+        return self.call("GET", f"/v1/kv/{quote(prefix)}", args, wait_us=wait_us if index else 0)
 
     def kv_put(self, key: str, value: str, **args: str) -> Deferred[Reply]:
         """`PUT /v1/kv/<key>` with `acquire`, `release` or `cas`; the body of the reply is true or false."""
         return self.call("PUT", f"/v1/kv/{quote(key)}", args, value.encode())
 
     def register(self, name: str, service_id: str, ttl_ms: int, meta: dict[str, str]) -> Deferred[Reply]:
-        """`PUT /v1/agent/service/register` with a TTL check that critical after ttl_ms unpassed."""
-        body = {"Name": name, "ID": service_id, "Meta": meta, "Check": {"TTL": f"{ttl_ms}ms"}}
+        """`PUT /v1/agent/service/register` with a TTL check: passing now, critical once that lapses."""
+        check = {"TTL": f"{ttl_ms}ms", "Status": "passing"}
+        body = {"Name": name, "ID": service_id, "Meta": meta, "Check": check}
         return self.call("PUT", "/v1/agent/service/register", body=json.dumps(body).encode())
 
     def pass_check(self, service_id: str) -> Deferred[Reply]:
         """`PUT /v1/agent/check/pass/service:<id>`."""
         return self.call("PUT", f"/v1/agent/check/pass/service:{quote(service_id, safe='')}")
 
-    def health(self, name: str, *, index: int = 0, wait_us: int = 0) -> Deferred[Reply]:
-        """`GET /v1/health/service/<name>?passing`, blocking past `index` when given."""
-        args = {"passing": "1"}
-        if index and wait_us:
-            args |= {"index": str(index), "wait": f"{max(1, wait_us // 1_000_000)}s"}
-        return self.call("GET", f"/v1/health/service/{quote(name, safe='')}", args, wait_us=wait_us)
+    def deregister(self, service_id: str) -> Deferred[Reply]:
+        """`PUT /v1/agent/service/deregister/<id>`."""
+        return self.call("PUT", f"/v1/agent/service/deregister/{quote(service_id, safe='')}")
+
+    def health(self, name: str, *, index: int, wait_us: int, passing: bool = True) -> Deferred[Reply]:
+        """`GET /v1/health/service/<name>`, blocking past `index` (0: at once)."""
+        args = ({"passing": "1"} if passing else {}) | _blocking(index, wait_us)
+        path = f"/v1/health/service/{quote(name, safe='')}"
+        return self.call("GET", path, args, wait_us=wait_us if index else 0)
+
+
+def _blocking(index: int, wait_us: int) -> dict[str, str]:
+    return {"index": str(index), "wait": f"{max(1, wait_us // 1000)}ms"} if index else {}
 
 
 class _Bytes:
--- a/bitternbeam/wiring/configured.py
+++ b/bitternbeam/wiring/configured.py
@@ -5,7 +5,7 @@
 import logging
 import os
 import sys
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -20,7 +20,7 @@
 from bitternbeam.configuration.keeper import Keeper, Result
 from bitternbeam.configuration.life import Stage, Version
 from bitternbeam.configuration.negotiation import Bounds
-from bitternbeam.configuration.node import Site, read_site
+from bitternbeam.configuration.node import TWO_DIRECTORIES, Site, read_site
 from bitternbeam.configuration.probation import Terms
 from bitternbeam.configuration.schema import SECTIONS, AnyEntry, Plugin, Sip
 from bitternbeam.configuration.snapshot import Snapshot
@@ -33,7 +33,7 @@
 from bitternbeam.plugins.settings import plugin_settings
 from bitternbeam.store.versions import StoreError, VersionStore
 from bitternbeam.wiring.daemon import Daemon
-from bitternbeam.wiring.parts import Part, Serving
+from bitternbeam.wiring.parts import Part
 from bitternbeam.wiring.platform import PlatformPart
 from bitternbeam.wiring.recovering import keep_file, recover
 from bitternbeam.wiring.store import ThreadedStore
@@ -208,6 +208,12 @@
         raise DocumentError(faults)
 
 
+def one_directory(_old: Snapshot, new: Snapshot) -> None:
+    """Refuse a version that names a directory beside the fleet's pool view."""
+    if new.consul is not None:
+        raise DocumentError([Fault("consul", TWO_DIRECTORIES)])
+
+
 class SipFollower:
     """Keeps the SIP side at what the version says of its servers and of Consul."""
 
@@ -215,6 +221,7 @@
         self.part = part
         self.servers = servers_of(snapshot)
         self.consul = consul_settings(snapshot)
+        self.viewed: Callable[[], bool] = lambda: False  # whether the fleet's pool view is the list
 
     def __call__(self, snapshot: Snapshot) -> None:
         """Follow a swap."""
@@ -225,7 +232,7 @@
             if consul is not None:
                 self.part.site.consul.start()
         self.servers, self.consul = servers, consul
-        if told:
+        if told and not self.viewed():
             self.part.serve(servers)
 
 
@@ -425,13 +432,14 @@
     configuration = ConfigurationPart(daemon, site, open_store(site))
     keeper = configuration.keeper
     snapshot = keeper.versions.running
-    parts: list[Serving] = [PlatformPart(daemon.common)]
+    parts: list[Any] = [PlatformPart(daemon.common)]
     sip = sip_settings(snapshot)
     if sip is not None:
         from bitternbeam.wiring.sip import SipPart  # noqa: PLC0415 - only where it is on
 
         parts.append(SipPart(daemon.common, sip))
-        keeper.watchers.append(SipFollower(parts[-1], snapshot))
+        follower = SipFollower(parts[-1], snapshot)
+        keeper.watchers.append(follower)
     daemon.parts += parts
     for part in parts:
         configuration.serve(part.core)
@@ -444,7 +452,14 @@
         from bitternbeam.wiring.fleet import Member  # noqa: PLC0415 - only where [fleet] is on
 
         common = daemon.common
-        daemon.parts.append(Member(common.reactor, common.deadlines, common.counters, site.fleet))
+        member = Member(common.reactor, common.deadlines, common.counters, site.fleet, keeper.versions)
+        daemon.parts.append(member)
+        if site.fleet.directory:
+            keeper.checks.append(one_directory)
+            if sip is not None:
+                # The document's bookers serve until the first view comes.
+                member.listed = parts[-1].site.listed
+                follower.viewed = lambda: bool(member.servers)
     if site.node.socket:
         daemon.parts.append(OperatorsPart(daemon, configuration, site.beside(site.node.socket)))
     return daemon
