Share overload over the fleet: reports, limits and shares, retry budgets, a throttle

Each controller learned a booker's overload alone and retried on its own. Retries stay within a tenth of first attempts and a floor that the fleet shares, never to a pressed booker; without shares a throttle follows the accepts.

lab overload plays a script of overload and failure with real members, bookers with a capacity and skewed callers, sharing on and off. Not measured yet on a quiet machine.

--- a/bitternbeam/commands/lab.py
+++ b/bitternbeam/commands/lab.py
@@ -43,3 +43,10 @@
     # The margin and the pause keep their part of the TTL.
     terms = Terms(ttl_ms=ttl_ms, lock_delay_ms=lock_delay_ms, margin_ms=max(700, ttl_ms // 5))
     return run_in(logs, as_json, lambda folder: owners(folder, kinds=faults, terms=terms, **told))
+
+
+def run_overload(logs: Path | None, as_json: bool, *, load: float, **told: Any) -> int:
+    """Run `lab overload`."""
+    from bitternbeam.lab.overload import Script, overload  # noqa: PLC0415
+
+    return run_in(logs, as_json, lambda folder: overload(folder, script=Script(load=load), **told))
--- a/bitternbeam/commands/main.py
+++ b/bitternbeam/commands/main.py
@@ -262,6 +262,21 @@
     sys.exit(run_owners(faults or ("kill", "pause"), logs, as_json, **told))
 
 
+@lab.command()
+@click.option("--processes", default=20, show_default=True, type=click.IntRange(2, 200))
+@click.option("--bookers", default=4, show_default=True, type=click.IntRange(1, 100))
+@click.option("--rate", default=60.0, show_default=True, help="What one booker serves a second.")
+@click.option("--load", default=3.0, show_default=True, help="Offered at the peak, in parts of the capacity.")
+@click.option("--logs", type=click.Path(path_type=Path), help="Folder kept with all logs.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Draw load, goodput and retries (matplotlib).")
+@AS_JSON
+def overload(logs: Path | None, as_json: bool, **told: Any) -> None:
+    """Overload the bookers with the fleet's sharing on, then off; print both side by side."""
+    from bitternbeam.commands.lab import run_overload  # noqa: PLC0415 - no other command needs it
+
+    sys.exit(run_overload(logs, as_json, **told))
+
+
 @cli.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/bitternbeam/configuration/node.py
+++ b/bitternbeam/configuration/node.py
@@ -17,6 +17,7 @@
 from bitternbeam.configuration.lines import placed
 from bitternbeam.configuration.reading import field_of, read_tables, read_toml
 from bitternbeam.configuration.schema import Address, AnyEntry, Entry, Key
+from bitternbeam.fleet.bounds import Terms
 from bitternbeam.fleet.lease import LeaseTimes, faults
 
 Text = Annotated[str, Meta(max_length=1024)]
@@ -83,6 +84,21 @@
     ramp_step_ms: Annotated[
         int, Meta(ge=100, le=600_000, description="a returning booker's share doubles after each")
     ] = 5_000
+    bounds: Annotated[bool, Meta(description="bound sends by the fleet's shares and budgets")] = True
+    period_ms: Annotated[
+        int, Meta(ge=100, le=60_000, description="between two reports, and two moves of a limit")
+    ] = 1_000
+    retry_fraction: Annotated[
+        float, Meta(ge=0, le=1, description="repeated attempts to first ones, over the window")
+    ] = 0.1
+    retry_window_ms: Annotated[int, Meta(ge=100, le=600_000, description="the window")] = 10_000
+    retry_floor_per_s: Annotated[
+        float,
+        Meta(ge=0, le=10_000, description="repeated attempts of the whole fleet that are always allowed"),
+    ] = 2.0
+    accepts_factor: Annotated[
+        float, Meta(ge=1, le=100, description="without shares: offers passed to answers got")
+    ] = 2.0
 
 
 def lease_faults(fleet: Fleet) -> list[Fault]:
@@ -111,6 +127,17 @@
     )
 
 
+def bound_terms(fleet: Fleet) -> Terms:
+    """Return what bounds sends in a [fleet] section."""
+    return Terms(
+        period_us=fleet.period_ms * 1000,
+        retry_fraction=fleet.retry_fraction,
+        retry_window_us=fleet.retry_window_ms * 1000,
+        retry_floor_per_s=fleet.retry_floor_per_s,
+        accepts_factor=fleet.accepts_factor,
+    )
+
+
 TWO_DIRECTORIES = "names a directory beside fleet.directory; keep one"
 TLS = ("certificate", "key", "authority", "server_name")
 LOCAL: dict[str, type[Entry]] = {"node": Node, "control": Control, "fleet": Fleet}
--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from bitternbeam.core.calls import NO_PLAN, Attempt, End, Offer, Plan, State
-from bitternbeam.core.ports import Back, Clock, Decisions, Front, Gate, Policies
+from bitternbeam.core.ports import Back, Bounds, Clock, Decisions, Front, Gate, Policies
 from bitternbeam.counters import Counters
 from bitternbeam.decision import interface as api
 from bitternbeam.figures.counts import Figures
@@ -23,6 +23,8 @@
 
 log = logging.getLogger(__name__)
 
+OVER_SHARE = "over_share"  # the one bar of the Bounds for which another booker may be tried
+NEVER_RAN = (api.Outcome.TURNED_AWAY, api.Outcome.NO_CONNECTION, api.Outcome.NOT_SENT)
 IN_DOUBT = (api.Outcome.NO_ANSWER, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 
@@ -38,6 +40,7 @@
     handle: int = 0
     state: State = State.PENDING
     attempts: int = 0
+    sent: int = 0  # of its attempts, those that went out
     out: Attempt | None = None  # sent and not answered, or standing
     booker: str = ""  # of its last attempt
     outcome: api.Outcome = api.Outcome.NOT_SENT  # likewise
@@ -66,6 +69,7 @@
         self.cells: dict[str, int] = {}  # of those listed
         self.gate: Gate | None = None
         self.policies: Policies | None = None
+        self.bounds: Bounds | None = None
         self.events: deque[api.Event] = deque()
         self.feeding = False
         self.idle: Callable[[], None] | None = None
@@ -101,12 +105,20 @@
         away_us = gate.offered(offer.call_class, offer.cell, offer.left_us, offer.redial) if gate else None
         if away_us is not None:
             self.counters.add("calls.refused_by_plugin")
-            self.figures.count("shed", offer.call_class)
-            front.refused(offer.ref, away_us)
-            if self.policies:
-                self.policies.settled(plan, False)
-                self.policies.over(plan)
+            self._turn_away(front, offer, plan, away_us)
             return 0
+        allowed = plan.allowed
+        if self.bounds is not None:
+            if not self.bounds.offered(now_us):
+                self.counters.add("calls.throttled")
+                self._turn_away(front, offer, plan, 0)
+                return 0
+            dry = self.bounds.dry(now_us)
+            if dry and not self._room(plan, dry):
+                self.counters.add("calls.over_all_shares")
+                self._turn_away(front, offer, plan, 0)
+                return 0
+            allowed = self._without(plan.allowed, dry) if dry else allowed
         kept_us = offer.left_us if plan.answer_us is None else min(offer.left_us, plan.answer_us)
         end_us = offer.taken_us + kept_us - self.limits.answer_margin_us
         call = Call(offer, front, plan, gate, end_us)
@@ -123,12 +135,40 @@
                 number=offer.number,
                 redial=offer.redial,
                 again=offer.again,
-                allowed=plan.allowed,
+                allowed=allowed,
                 attempts=plan.attempts,
             )
         )
         return call.handle
 
+    def _turn_away(self, front: Front, offer: Offer, plan: Plan, away_us: int) -> None:
+        """Refuse an offer before it becomes a call."""
+        self.figures.count("shed", offer.call_class)
+        front.refused(offer.ref, away_us)
+        if self.policies:
+            self.policies.settled(plan, False)
+            self.policies.over(plan)
+
+    def _room(self, plan: Plan, dry: frozenset[str]) -> bool:
+        """Tell whether some booker that a call may go to is not dry."""
+        ready = api.SwitchState.READY
+        return any(
+            state is ready and name not in dry and self._allowed(plan, name)
+            for name, state in self.listed_as.items()
+        )
+
+    def _without(self, allowed: tuple[api.Tier, ...] | None, dry: frozenset[str]) -> tuple[api.Tier, ...]:
+        """Return what the module may choose from, less the dry bookers."""
+        if allowed is None:
+            return (api.Tier({}, frozenset(self.cells.values()), dry),)
+        return tuple(
+            api.Tier(
+                {name: weight for name, weight in tier.switches.items() if name not in dry},
+                tier.cells, tier.shut | dry, tier.weights,
+            )
+            for tier in allowed
+        )  # fmt: skip
+
     def withdraw(self, handle: int) -> None:
         """Owe a caller who gave up a set-up nothing more."""
         call = self.calls.get(handle)
@@ -163,6 +203,8 @@
         self.figures.count("ok", call.offer.call_class)
         if self.policies:
             self.policies.settled(call.plan, True, attempt.booker)
+        if self.bounds:
+            self.bounds.answered(attempt.booker, self.clock.now_us())
         call.front.answered(call.offer.ref, body)
         took_us = self.clock.now_us() - attempt.sent_us
         self._feed(api.Stands(call.offer.uid, attempt.number, attempt.booker, took_us))
@@ -293,6 +335,16 @@
             else "too_late" if now_us >= end_us
             else ""
         )  # fmt: skip
+        if not barred and self.bounds is not None:
+            barred = self.bounds.may_send(action.switch, call.sent > 0, now_us)
+            if barred and barred != OVER_SHARE:
+                # The budget for repeated attempts is used up: the caller hears so at once.
+                self.counters.add(f"sends.barred.{barred}")
+                ran = call.outcome not in NEVER_RAN
+                uid = call.offer.uid
+                self._finish(call, api.Fail(uid) if ran else api.Refuse(uid))
+                self.events.append(api.Withdrawn(uid))
+                return
         number = call.attempts
         call.attempts += 1
         if barred:
@@ -308,6 +360,7 @@
         attempt = Attempt(call.handle, number, action.switch, call.offer, left_us, now_us)
         call.out, call.booker = attempt, attempt.booker
         attempt.deadline = self.clock.at(now_us + left_us, lambda: self._unanswered(attempt))
+        call.sent += 1
         self.counters.add("sends")
         self._trace("sent", call)
         self.back.set_up(attempt)
@@ -391,6 +444,10 @@
         if attempt.deadline:
             attempt.deadline.cancel()
         self.counters.add(f"outcomes.{end.outcome.name.lower()}")
+        if self.bounds and end.outcome in (api.Outcome.TURNED_AWAY, api.Outcome.ERROR):
+            self.bounds.refused(attempt.booker)
+        elif self.bounds and end.outcome is api.Outcome.NO_ANSWER:
+            self.bounds.late(attempt.booker)
         if end.outcome in IN_DOUBT:
             call.held_until_us = now_us + self.settings.release_wait_us
         self._feed(
--- a/bitternbeam/core/ports.py
+++ b/bitternbeam/core/ports.py
@@ -98,6 +98,34 @@
         ...
 
 
+class Bounds(Protocol):
+    """What may be sent beside what the module decides: shares of bookers, budgets of retries."""
+
+    def offered(self, now_us: int) -> bool:
+        """Take an offer; False: it is turned away before any attempt."""
+        ...
+
+    def dry(self, now_us: int) -> frozenset[str]:
+        """Return the bookers to which nothing may be sent now."""
+        ...
+
+    def may_send(self, booker: str, retry: bool, now_us: int) -> str:
+        """Return why an attempt may not go out, '' if it may; that counts it as sent."""
+        ...
+
+    def answered(self, booker: str, now_us: int) -> None:
+        """Note an attempt that stands."""
+        ...
+
+    def refused(self, booker: str) -> None:
+        """Note an attempt that was turned away, or an error."""
+        ...
+
+    def late(self, booker: str) -> None:
+        """Note an attempt that was not answered in time."""
+        ...
+
+
 class Policies(Protocol):
     """Where a call's plan comes from; it hears what became of the call."""
 
--- /dev/null
+++ b/bitternbeam/fleet/bounds.py
@@ -0,0 +1,139 @@
+"""What one controller may send: its shares of the bookers' limits, its retry budget and its throttle.
+
+Beside the decision module, which chooses: what is barred here it hears of as an attempt that was not sent.
+It is the core's Bounds. What goes out is within the module's own word and the published share; without a
+fresh record the last limit is split by the largest fleet seen lately (errs safe).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bitternbeam.fleet.pressure import Pressure, Report, Traffic
+from bitternbeam.fleet.retries import Chance, RetryBudget, Throttle
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """The settings of [fleet] that bound what is sent."""
+
+    period_us: int = 1_000_000
+    retry_fraction: float = 0.1
+    retry_window_us: int = 10_000_000
+    retry_floor_per_s: float = 2.0  # of the whole fleet
+    accepts_factor: float = 2.0  # K of adaptive throttling
+
+
+class Bucket:
+    """A token bucket of one booker's share."""
+
+    def __init__(self, now_us: int) -> None:
+        self.rate: float | None = None  # per second; None: no bound
+        self.tokens = 1.0
+        self.at_us = now_us
+
+    def set(self, rate: float | None, period_us: int, now_us: int) -> None:
+        """Take a new rate; what was saved up stays, up to a period's worth."""
+        self.refill(period_us, now_us)
+        self.rate = rate
+
+    def refill(self, period_us: int, now_us: int) -> None:
+        """Let tokens come in, a period's worth at the most, one at least."""
+        if self.rate is not None:
+            most = max(1.0, self.rate * period_us / 2e6)
+            self.tokens = min(most, self.tokens + self.rate * (now_us - self.at_us) / 1e6)
+        self.at_us = now_us
+
+    def holds(self, period_us: int, now_us: int) -> bool:
+        """Whether a send may go out now."""
+        self.refill(period_us, now_us)
+        return self.rate is None or self.tokens >= 1.0
+
+
+class Bounds:
+    """Shares, budget and throttle of one controller; `size` tells the largest fleet seen lately."""
+
+    def __init__(self, terms: Terms, size: Callable[[], int], random: Chance, now_us: int) -> None:
+        self.terms, self.size = terms, size
+        self.budget = RetryBudget(terms.retry_fraction, terms.retry_window_us, terms.retry_floor_per_s)
+        self.throttle = Throttle(terms.retry_window_us // 5, terms.accepts_factor, random)
+        self.buckets: dict[str, Bucket] = {}
+        self.pressures: dict[str, Pressure] = {}
+        self.led: set[str] = set()  # bookers whose share was published lately
+        self.began_us = now_us
+        self.offers = 0
+        self.offered_per_s = 0.0
+        self.counts: dict[str, list[int]] = {}  # by booker: sent, accepted, refused, late
+
+    # From the fleet.
+
+    def pressure(self, booker: str, pressure: Pressure, fresh: bool, now_us: int) -> None:
+        """Take a booker's published pressure; one that is no longer fresh is split by the largest fleet."""
+        self.pressures[booker] = pressure
+        (self.led.add if fresh else self.led.discard)(booker)
+        size = self.size()
+        offered = self.offered_per_s
+        if not fresh:
+            pressure, offered = Pressure(pressure.limit, 0.0, size, pressure.pressed), 0.0
+        bucket = self.buckets.setdefault(booker, Bucket(now_us))
+        bucket.set(pressure.share(offered, size), self.terms.period_us, now_us)
+
+    def report(self, now_us: int) -> Report:
+        """Return what was done since the last report, and begin anew."""
+        took_s = max(1, now_us - self.began_us) / 1e6
+        self.offered_per_s = self.offers / took_s
+        bookers = {
+            name: Traffic(*(one / took_s for one in row)) for name, row in self.counts.items() if any(row)
+        }
+        self.began_us, self.offers, self.counts = now_us, 0, {}
+        return Report(now_us // 1000, self.offered_per_s, bookers)
+
+    # From the core.
+
+    def dry(self, now_us: int) -> frozenset[str]:
+        """Return the bookers whose share is used up."""
+        period_us = self.terms.period_us
+        return frozenset(name for name, one in self.buckets.items() if not one.holds(period_us, now_us))
+
+    def offered(self, now_us: int) -> bool:
+        """Take an offer; False: it is turned away before any attempt.
+
+        Where shares are published they bound what is sent; the throttle is for when nobody leads.
+        """
+        self.offers += 1
+        return bool(self.led) or not self.throttle.turns_away(now_us)
+
+    def may_send(self, booker: str, retry: bool, now_us: int) -> str:
+        """Return why an attempt may not go out, '' if it may; a retry takes from the budget."""
+        bucket = self.buckets.get(booker)
+        if bucket is not None and not bucket.holds(self.terms.period_us, now_us):
+            return "over_share"
+        if retry:
+            known = self.pressures.get(booker)
+            if known is not None and known.pressed:
+                return "retry_to_pressed"
+            if not self.budget.retry(now_us, self.size()):
+                return "retry_budget"
+        else:
+            self.budget.first(now_us)
+        if bucket is not None and bucket.rate is not None:
+            bucket.tokens -= 1
+        self._count(booker, 0)
+        return ""
+
+    def answered(self, booker: str, now_us: int) -> None:
+        """Note an attempt that stands."""
+        self._count(booker, 1)
+        self.throttle.accepted(now_us)
+
+    def refused(self, booker: str) -> None:
+        """Note an attempt that was turned away, or an error."""
+        self._count(booker, 2)
+
+    def late(self, booker: str) -> None:
+        """Note an attempt that was not answered in time."""
+        self._count(booker, 3)
+
+    def _count(self, booker: str, what: int) -> None:
+        self.counts.setdefault(booker, [0, 0, 0, 0])[what] += 1
--- /dev/null
+++ b/bitternbeam/fleet/pressure.py
@@ -0,0 +1,188 @@
+"""A booker's load as the whole fleet sees it, and what part of it each member may send.
+
+Each member reports what it was offered and, for each booker, what it sent and what became of it. The owner
+of a booker sums the reports and moves the fleet's limit for it once a period: pressed (more than 4 % of what
+was sent was turned away or not answered in time), the limit falls to what the booker took, by half at the
+most; unpressed, it grows while it is used: doubling far below what the booker last bore, then by a quarter,
+and by 3 and soon 5.5 % around and above it (slow start and congestion avoidance, Jacobson 1988, on rates in
+place of windows). 4 % unnoticed and 5.5 % of growth stay within the tenth by which it may be overloaded.
+
+A member's share of the limit follows its demand, so that skewed traffic wastes no room; a tenth is split
+evenly, so that a quiet member may send at once. Rates are per second, times microseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+PRESSED = 0.04  # share of sends turned away or unanswered, from which a booker is pressed
+USED = 0.7  # part of the limit that must be used for it to grow
+EVEN = 0.1  # part of the limit that is split evenly
+FLOOR = 0.1  # of what the booker last bore: the limit falls no further
+LEAST_PER_S = 1.0
+STALLED = 0.2  # of what it bore: a pressed booker that takes less has stalled
+SLOW, FAST = 1.03, 1.055  # growth a period around what it bore, and after SLOW_PERIODS without pressure
+SLOW_PERIODS = 2
+CALM_PERIODS = 60  # unpressed and hardly used for so many periods: no limit is needed
+
+
+@dataclass(frozen=True, slots=True)
+class Traffic:
+    """What one member, or all, did at one booker in the last period, per second."""
+
+    sent: float = 0.0
+    accepted: float = 0.0
+    refused: float = 0.0  # turned away, or an error
+    late: float = 0.0  # not answered in time
+
+    def row(self) -> list[float]:
+        """Return it as a report carries it."""
+        return [round(one, 3) for one in (self.sent, self.accepted, self.refused, self.late)]
+
+    def plus(self, other: Traffic) -> Traffic:
+        """Return the sum."""
+        return Traffic(
+            self.sent + other.sent, self.accepted + other.accepted,
+            self.refused + other.refused, self.late + other.late,
+        )  # fmt: skip
+
+    @property
+    def pressed(self) -> bool:
+        """Whether it shows a booker that can't keep up."""
+        bad = self.refused + self.late
+        return bad > PRESSED * max(bad + self.accepted, LEAST_PER_S)
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """One member's report: what it was offered, and its traffic by booker."""
+
+    at_ms: int
+    offered: float
+    bookers: Mapping[str, Traffic]
+
+    def value(self) -> dict[str, Any]:
+        """Return it as it is stored."""
+        rows = {name: one.row() for name, one in sorted(self.bookers.items())}
+        return {"at_ms": self.at_ms, "offered": round(self.offered, 3), "bookers": rows}
+
+
+def _rate(value: Any) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value < 1e9
+
+
+def report_of(value: Any) -> Report | None:
+    """Read a report; None where it is not one."""
+    if not isinstance(value, dict):
+        return None
+    at_ms, offered, rows = value.get("at_ms"), value.get("offered"), value.get("bookers")
+    if type(at_ms) is not int or at_ms < 0 or not _rate(offered) or not isinstance(rows, dict):
+        return None
+    bookers = {}
+    for name, row in rows.items():
+        if not isinstance(row, list) or len(row) != 4 or not all(_rate(one) for one in row):
+            return None
+        bookers[str(name)] = Traffic(*(float(one) for one in row))
+    return Report(at_ms, float(offered or 0), bookers)
+
+
+@dataclass(frozen=True, slots=True)
+class Pressure:
+    """What a booker's owner publishes: the fleet's limit and the demand it is split by."""
+
+    limit: float | None = None  # sends a second from all members; None: none is needed
+    demand: float = 0.0  # offered to all members a second
+    members: int = 1
+    pressed: bool = False
+
+    def value(self) -> dict[str, Any]:
+        """Return it as a record carries it."""
+        limit = None if self.limit is None else round(self.limit, 3)
+        return {
+            "limit": limit, "demand": round(self.demand, 3), "members": self.members, "pressed": self.pressed
+        }  # fmt: skip
+
+    def share(self, offered: float, size: int) -> float | None:
+        """Return what one member with that demand may send a second, in a fleet of at least `size`.
+
+        Demands that are not known are taken for even; a fleet larger than the owner saw lessens each share.
+        """
+        if self.limit is None:
+            return None
+        members = max(self.members, size, 1)
+        part = offered / max(self.demand, offered) if self.demand > 0 and offered > 0 else 0.0
+        if self.demand <= 0:
+            part = 1 / members
+        lessened = self.members / members  # of the demand-led part too: the others' demand is not known
+        return self.limit * (EVEN / members + (1 - EVEN) * part * lessened)
+
+
+def pressure_of(value: Any) -> Pressure | None:
+    """Read a pressure; None where it is not one."""
+    if not isinstance(value, dict):
+        return None
+    limit, demand = value.get("limit"), value.get("demand")
+    members, pressed = value.get("members"), value.get("pressed")
+    if limit is not None and not _rate(limit):
+        return None
+    if not _rate(demand) or type(members) is not int or members < 1 or not isinstance(pressed, bool):
+        return None
+    return Pressure(None if limit is None else float(limit), float(demand or 0), members, pressed)
+
+
+class Governor:
+    """The fleet's limit for one booker, in the hands of its owner; moved once a period."""
+
+    def __init__(self) -> None:
+        self.limit: float | None = None
+        self.bore = 0.0  # what the booker took when it was last pressed and serving
+        self.calm = 0  # periods hardly used
+        self.well = 0  # periods in a row that were used and not pressed
+
+    def resume(self, pressure: Pressure) -> None:
+        """Go on from what the owner before published."""
+        self.limit, self.bore = pressure.limit, max(self.bore, pressure.limit or 0.0)
+        self.calm = self.well = 0
+
+    def step(self, traffic: Traffic) -> bool:
+        """Move the limit by a period's traffic of the whole fleet; returns whether the booker is pressed."""
+        if traffic.pressed:
+            self.calm = self.well = 0
+            # One that takes a good part has a new capacity; one that takes next to nothing has stalled, and
+            # what it bore before is where it is soon taken back to.
+            if traffic.accepted >= STALLED * self.bore:
+                self.bore = traffic.accepted
+            least = max(LEAST_PER_S, FLOOR * self.bore)
+            if self.limit is None:
+                self.limit = max(traffic.accepted, least)
+            else:
+                self.limit = max(min(self.limit, traffic.accepted), self.limit / 2, least)
+            return True
+        if self.limit is None:
+            return False
+        if traffic.sent < USED * self.limit:
+            self.well = 0
+            self.calm += 1
+            if self.calm >= CALM_PERIODS:
+                self.limit = None
+            return False
+        self.calm = 0
+        self.well += 1
+        if self.limit < 0.5 * self.bore:
+            self.limit = min(2 * self.limit, 0.9 * self.bore)
+        elif self.limit < 0.9 * self.bore:
+            self.limit = min(1.25 * self.limit, 0.95 * self.bore)
+        else:
+            self.limit *= SLOW if self.well <= SLOW_PERIODS else FAST
+        return False
+
+
+def total(reports: Iterable[Report], booker: str) -> tuple[Traffic, float]:
+    """Return the fleet's traffic at one booker and the demand on all members."""
+    traffic, demand = Traffic(), 0.0
+    for one in reports:
+        demand += one.offered
+        traffic = traffic.plus(one.bookers.get(booker, Traffic()))
+    return traffic, demand
--- /dev/null
+++ b/bitternbeam/fleet/retries.py
@@ -0,0 +1,103 @@
+"""How many repeated attempts one controller may make, and how many first attempts it should not.
+
+- `RetryBudget`: retries at most a fraction of first attempts over a sliding window, with a floor for quiet
+  times (as Finagle's RetryBudget and Envoy's retry budget do; a limit on attempts a call alone lets a whole
+  fleet send as many times as much just when the bookers are pressed).
+- `Throttle`: client-side adaptive throttling (Beyer et al., Site Reliability Engineering, ch. 21 "Handling
+  Overload"): first attempts are turned away with probability max(0, (requests - K accepts) / (requests + 1)).
+  One in ten is always let through: with the formula alone, a service that came back after a long silence was
+  still turned away nine times in ten 40 s later (simulated, 100 calls a second).
+- `backoff_us`: exponential backoff with full jitter (Brooker, "Exponential Backoff And Jitter", 2015).
+
+Times are microseconds, handed in, as the random source is.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+TURNED_MOST = 0.9  # of first attempts
+PARTS = 10  # of a window: what is older than it goes a tenth at a time
+
+
+class Chance(Protocol):
+    """A random source; random.Random is one."""
+
+    def random(self) -> float:
+        """Return a number from 0 to below 1."""
+        ...
+
+
+class Window:
+    """Counts over a sliding window, in tenths of it."""
+
+    def __init__(self, window_us: int) -> None:
+        self.part_us = max(1, window_us // PARTS)
+        self.counts = [0.0] * PARTS
+        self.at = 0  # number of the newest part
+
+    def _roll(self, now_us: int) -> None:
+        part = now_us // self.part_us
+        for number in range(max(self.at + 1, part - PARTS + 1), part + 1):
+            self.counts[number % PARTS] = 0.0
+        self.at = max(self.at, part)
+
+    def add(self, now_us: int, count: float = 1.0) -> None:
+        """Count something."""
+        self._roll(now_us)
+        self.counts[self.at % PARTS] += count
+
+    def total(self, now_us: int) -> float:
+        """Return the count over the window."""
+        self._roll(now_us)
+        return sum(self.counts)
+
+
+class RetryBudget:
+    """Whether a repeated attempt may go out now."""
+
+    def __init__(self, fraction: float, window_us: int, floor_per_s: float) -> None:
+        self.fraction, self.window_us, self.floor_per_s = fraction, window_us, floor_per_s
+        self.firsts, self.retries = Window(window_us), Window(window_us)
+
+    def first(self, now_us: int) -> None:
+        """Count a first attempt."""
+        self.firsts.add(now_us)
+
+    def retry(self, now_us: int, size: int) -> bool:
+        """Take one retry from the budget, if it holds one; the floor is shared by `size` members."""
+        floor = self.floor_per_s * self.window_us / 1e6 / max(1, size)
+        if self.retries.total(now_us) + 1 > self.fraction * self.firsts.total(now_us) + max(1.0, floor):
+            return False
+        self.retries.add(now_us)
+        return True
+
+
+class Throttle:
+    """Whether a first attempt is turned away before it is made."""
+
+    def __init__(self, window_us: int, accepts_factor: float, random: Chance) -> None:
+        self.accepts_factor, self.random = accepts_factor, random
+        self.requests, self.accepts = Window(window_us), Window(window_us)
+
+    def probability(self, now_us: int) -> float:
+        """Return the share of first attempts to turn away now."""
+        requests = self.requests.total(now_us)
+        turned = (requests - self.accepts_factor * self.accepts.total(now_us)) / (requests + 1)
+        return min(TURNED_MOST, max(0.0, turned))
+
+    def turns_away(self, now_us: int) -> bool:
+        """Decide on one first attempt, and count it either way."""
+        turned = self.random.random() < self.probability(now_us)
+        self.requests.add(now_us)
+        return turned
+
+    def accepted(self, now_us: int) -> None:
+        """Count one that a booker took."""
+        self.accepts.add(now_us)
+
+
+def backoff_us(attempt: int, base_us: int, most_us: int, random: Chance) -> int:
+    """Return how long to wait before attempt 1, 2, ...: anything up to the doubled bound."""
+    bound_us = min(most_us, base_us << min(attempt, 30))
+    return int(random.random() * bound_us)
--- a/bitternbeam/lab/fleet.py
+++ b/bitternbeam/lab/fleet.py
@@ -42,12 +42,29 @@
         return self.ttl_ms + self.lock_delay_ms + 1_000
 
 
+def free_port() -> int:
+    """Return a port of the loopback that is free now."""
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        return int(one.getsockname()[1])
+
+
 class Laboratory:
     """The processes of one run; use it as a context."""
 
-    def __init__(self, folder: Path, *, processes: int, bookers: int, terms: Terms | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        *,
+        processes: int,
+        bookers: int,
+        terms: Terms | None = None,
+        fleet: dict[str, Any] | None = None,
+    ) -> None:
         self.folder = folder
         self.terms = terms or Terms()
+        self.more = fleet or {}  # further keys of [fleet]
+        self.listen: dict[str, int] = {}  # where each member takes calls
         self.bookers = [f"b{number}" for number in range(bookers)]
         self.names = [f"ctl-{number:02}" for number in range(processes)]
         folder.mkdir(parents=True, exist_ok=True)
@@ -89,13 +106,15 @@
         terms = self.terms
         engine = self._link(name, "engine", self.engine.port)
         probes = [f"{one}=127.0.0.1:{self._link(name, one, self.receivers.port)}" for one in self.bookers]
-        platform = json.loads((ROOT / "example/config.json").read_text())
-        platform |= {"name": name, "listen": "127.0.0.1:0", "board": f"127.0.0.1:{self.board.port}"}
+        self.listen[name] = free_port()
+        platform = self.platform()
+        platform |= {"name": name, "listen": f"127.0.0.1:{self.listen[name]}"}
+        platform |= {"board": f"127.0.0.1:{self.board.port}"}
         (self.folder / f"{name}.json").write_text(json.dumps(platform))
         times = {key: getattr(terms, key) for key in Terms.__slots__}
         lines = ["[node]", f'platform = "{name}.json"', 'log = "json"', f'socket = "{name}.sock"', "[fleet]"]
         lines += [f'engine = "127.0.0.1:{engine}"', f'name = "{name}"', 'directory = "bookers"']
-        lines += [f"{key} = {value}" for key, value in times.items()]
+        lines += [f"{key} = {json.dumps(value)}" for key, value in (times | self.more).items()]
         lines += [f"probes = {json.dumps(probes)}", ""]
         path = self.folder / f"{name}.toml"
         path.write_text("\n".join(lines))
@@ -103,6 +122,11 @@
             name, ["-m", "bitternbeam", "run", "--config", str(path)], self.folder / f"{name}.log.jsonl"
         )
 
+    def platform(self) -> dict[str, Any]:
+        """Return the platform's JSON that members start from."""
+        found: dict[str, Any] = json.loads((ROOT / "example/config.json").read_text())
+        return found
+
     # What a script does to the fleet.
 
     def list_booker(self, booker: str, number: int, **meta: str) -> None:
@@ -150,8 +174,12 @@
 
     def receiver(self, order: str) -> None:
         """Give the receivers an order of the lab's."""
-        if self._order(self.receivers.port, f"LAB {order}") != "OK":
-            raise LabError(f"receivers: {order!r} is no order")
+        self.order(self.receivers, order)
+
+    def order(self, stand_in: StandIn, order: str) -> None:
+        """Give a stand-in an order of the lab's."""
+        if self._order(stand_in.port, f"LAB {order}") != "OK":
+            raise LabError(f"{stand_in.name}: {order!r} is no order")
 
     def fault(self, source: str, target: str, **what: Any) -> None:
         """Set what the links between two parties do from now on (`*` matches all); none of it: healed."""
--- a/bitternbeam/lab/plots.py
+++ b/bitternbeam/lab/plots.py
@@ -10,6 +10,7 @@
 from matplotlib import pyplot as plt
 
 from bitternbeam.lab.judging import Act, Held
+from bitternbeam.lab.loads import Loads, Marks, Series
 
 COLOURS = plt.get_cmap("tab20")
 
@@ -42,3 +43,30 @@
     axes.legend(loc="upper center", bbox_to_anchor=(0.5, -0.25), ncol=8, fontsize=7)
     figure.savefig(path, bbox_inches="tight", dpi=110)
     plt.close(figure)
+
+
+def loads_drawn(path: Path, runs: dict[str, tuple[Loads, Marks]], capacity: float) -> None:
+    """Draw offered load, load at the bookers, goodput and retries over time, a panel a run."""
+    figure, panels = plt.subplots(len(runs), 1, figsize=(13, 4.2 * len(runs)), sharex=True, squeeze=False)
+    for axes, (name, (loads, marks)) in zip(panels[:, 0], runs.items(), strict=True):
+        start, end = marks.at["before"], marks.at["end"]
+        times = range(start, end - 1_000_000, 250_000)
+        seconds = [(at - start) / 1e6 for at in times]
+
+        def drawn(label: str, every: list[Series], colour: str) -> None:
+            rates = [sum(one.rate(at, at + 1_000_000) for one in every) / capacity for at in times]  # noqa: B023
+            axes.plot(seconds, rates, label=label, color=colour, linewidth=1.2)  # noqa: B023
+
+        drawn("offered (again included)", [loads.of("call"), loads.of("again")], "0.7")
+        drawn("set-ups at the bookers", list(loads.arrived.values()), "tab:orange")
+        drawn("answered in time", [loads.of("ok")], "tab:green")
+        drawn("repeated attempts", [loads.retried], "tab:red")
+        for part, at in marks.at.items():
+            axes.axvline((at - start) / 1e6, color="k", linewidth=0.4)
+            axes.text((at - start) / 1e6, 2.95, f" {part}", fontsize=7, va="top")
+        axes.axhline(1.0, color="k", linestyle=":", linewidth=0.8)
+        axes.set(ylim=(0, 3.0), ylabel="parts of the capacity", title=f"sharing {name}")
+        axes.legend(loc="center right", fontsize=8)
+    panels[-1, 0].set_xlabel("seconds")
+    figure.savefig(path, bbox_inches="tight", dpi=110)
+    plt.close(figure)
--- a/bitternbeam/wiring/fleet.py
+++ b/bitternbeam/wiring/fleet.py
@@ -18,12 +18,14 @@
 from bitternbeam.fleet.lease import Phase, Session, Step
 from bitternbeam.fleet.membership import Damping, Roster, Standing
 from bitternbeam.fleet.placement import wants
+from bitternbeam.fleet.rendezvous import weight
 from bitternbeam.fleet.view import Server, change
 from bitternbeam.net.consul import BadReply, Listed
 from bitternbeam.net.coordination import ConsulApi, Reply, entries_of, entry_of, members_of
 from bitternbeam.net.sip.settings import SipServer
 from bitternbeam.net.sip.transport import Hop
 from bitternbeam.tables.deadlines import Deadline, Deadlines
+from bitternbeam.wiring.fleet_load import Load
 from bitternbeam.wiring.fleet_work import Bench, ProbeWork, VersionWork, ViewWork, Work
 from bitternbeam.wiring.parts import Part
 
@@ -130,6 +132,7 @@
             booker, _, address = one.partition("=")
             where, _, number = address.rpartition(":")
             self.probes[booker] = ProbeWork(bench, booker, (where, int(number)))
+        self.load = Load(bench, self.probes, weight(fleet.name, "load")) if fleet.bounds else None
         self.works: list[Work] = [*self.probes.values()]
         self.view = ViewWork(bench, self.probes) if fleet.directory else None
         self.version = VersionWork(bench, versions) if versions is not None else None
@@ -196,6 +199,8 @@
             "share": round(1 / self.roster.size(now), 6),
             "work": {work.name: [work.claim.phase.value, str(work.claim.token or "")] for work in self.works},
         }
+        if self.load:
+            told["load"] = self.load.status()
         if self.view:
             told["view"] = {
                 "fresh": self.view.follower.fresh(now) is not None,
@@ -269,6 +274,8 @@
         self._asides(now)
         for work in self.works:
             self._work(work, now)
+        if self.load:
+            self.load.tick(now)
         if self.standing.alone:
             for each in self.probes.values():
                 each.look(now, self.roster.size(now))
@@ -340,6 +347,8 @@
         self._engine_well()
         entries = entries_of(reply.body)
         now = self.deadlines.now_us()
+        if self.load:
+            self.load.shown(entries)
         for work in self.works:
             work.shown(entries, now)
             self._work(work, now)
--- a/bitternbeam/wiring/fleet_work.py
+++ b/bitternbeam/wiring/fleet_work.py
@@ -19,6 +19,7 @@
 from bitternbeam.fleet.lease import Claim, LeaseTimes
 from bitternbeam.fleet.membership import Roster
 from bitternbeam.fleet.placement import Lock
+from bitternbeam.fleet.pressure import Governor, Pressure, pressure_of
 from bitternbeam.fleet.ramp import Health, Ramp, Told, told_of
 from bitternbeam.fleet.record import Follower, Heard, Publication, Write
 from bitternbeam.fleet.tokens import Token, parse_token
@@ -145,22 +146,34 @@
         self.started_ms: int | None = None
         self.looked = Ramp(bench.fleet.ramp_step_ms * 1000)  # what this member alone saw, while it is alone
         self.under: Token | None = None
+        self.governor = Governor()
+        self.pressure: Pressure | None = None  # as published last, here or elsewhere
 
     def heard(self, value: dict[str, Any]) -> None:
         """Keep what the owner published: a new owner goes on from there."""
         told = told_of(value)
         if told is None:
             self.bench.counters.add("fleet.records_malformed")
-        elif self.claim.token is None:  # else it is this member's own word
+            return
+        pressure = pressure_of(value.get("pressure")) if "pressure" in value else None
+        if "pressure" in value and pressure is None:
+            self.bench.counters.add("fleet.records_malformed")
+        if self.claim.token is None:  # else it is this member's own word
             self.ramp.resume(told)
+            if pressure is not None:
+                self.pressure = pressure
+                self.governor.resume(pressure)
 
     def told(self) -> Told:
         """Return the booker's state as last published, or as this member's own probes show it."""
         return self.ramp.told
 
     def value(self) -> dict[str, Any] | None:
-        """Return the booker's state."""
-        return self.ramp.told.value()
+        """Return the booker's state, and its pressure where loads are shared."""
+        told = self.ramp.told.value()
+        return (
+            told | {"pressure": self.pressure.value()} if self.pressure and self.bench.fleet.bounds else told
+        )
 
     def act(self, token: Token, now_us: int) -> None:
         """Probe when it is time."""
--- /dev/null
+++ b/standins/callers.py
@@ -0,0 +1,235 @@
+"""Callers of a whole fleet: an open stream of calls at several controllers, skewed as the lab says.
+
+    python -m standins.callers --targets FILE --ready-file port.txt --log FILE --seed 1
+
+FILE is a JSON object `{"targets": [["ctl-00", PORT, WEIGHT], ...], "class": "...", "left_ms": 1000}`. The
+control port takes `LAB rate R` (new calls a second, over all), `LAB again K` (a caller turned away or left
+without an answer calls again up to K times, soon) and `LAB leave SHARE` (of callers, give up after 300 ms).
+
+The log has one JSON line for each event: `at_us`, `event` (`call`, `again`, `ok`, `late`, `refused`,
+`failed`, `none`, `left`), `target`, `uid`.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import IO, Any
+
+from twisted.internet.protocol import Factory, ReconnectingClientFactory
+from twisted.internet.task import LoopingCall
+from twisted.protocols.basic import LineReceiver
+from twisted.python.failure import Failure
+
+REFUSED = 34
+LEAVE_S = 0.3
+
+
+@dataclass(slots=True)
+class Call:
+    """One set-up of a caller's."""
+
+    target: Target
+    uid: str
+    tries: int
+    sent_at: float
+    timer: Any = None
+
+
+class CallerLine(LineReceiver):
+    """One connection to a controller."""
+
+    delimiter = b"\n"
+    target: Target
+
+    def connectionMade(self) -> None:
+        """Be used."""
+        self.target.line = self
+        self.target.resetDelay()
+
+    def lineReceived(self, line: bytes) -> None:
+        """Take an answer."""
+        message = json.loads(line)
+        self.target.crowd.answered(str(message.get("uid")), str(message.get("kind")), message.get("reason"))
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionError())) -> None:  # noqa: B008
+        """Be used no more."""
+        if self.target.line is self:
+            self.target.line = None
+
+
+class Target(ReconnectingClientFactory):
+    """One controller, called over one connection at a time."""
+
+    noisy = False
+    initialDelay = 0.05  # noqa: N815
+    maxDelay = 0.3  # type: ignore[assignment]  # noqa: N815
+
+    def __init__(self, crowd: Crowd, name: str, weight: float) -> None:
+        self.crowd, self.name, self.weight = crowd, name, weight
+        self.line: CallerLine | None = None
+
+    def buildProtocol(self, _address: Any) -> CallerLine:
+        """Make a connection's protocol."""
+        line = CallerLine()
+        line.target = self
+        return line
+
+
+class Crowd:
+    """All callers."""
+
+    def __init__(self, reactor: Any, kind: str, left_ms: int, seed: int, log: IO[str]) -> None:
+        self.reactor, self.kind, self.left_ms, self.log = reactor, kind, left_ms, log
+        self.random = Random(seed)
+        self.targets: list[Target] = []
+        self.rate, self.again, self.leave = 0.0, 0, 0.0
+        self.calls: dict[str, Call] = {}
+        self.number = 0
+        self.next: Any = None
+        self.due = 0.0
+
+    def note(self, event: str, call: Call) -> None:
+        """Write one line of the log."""
+        line = {
+            "at_us": time.monotonic_ns() // 1000,
+            "event": event,
+            "target": call.target.name,
+            "uid": call.uid,
+        }
+        self.log.write(json.dumps(line) + "\n")
+
+    def set_rate(self, rate: float) -> None:
+        """Change the rate of new calls."""
+        self.rate = rate
+        if self.next is not None and self.next.active():
+            self.next.cancel()
+        self.due = time.monotonic()
+        self._later()
+
+    def _later(self) -> None:
+        # Due times are drawn ahead and kept: calls that come late must not slow those behind them.
+        if self.rate > 0:
+            self.due += self.random.expovariate(self.rate)
+            self.next = self.reactor.callLater(max(0.0, self.due - time.monotonic()), self._new)
+
+    def _new(self) -> None:
+        self._later()
+        (target,) = self.random.choices(self.targets, [one.weight for one in self.targets])
+        self.call(target, 0)
+
+    def call(self, target: Target, tries: int) -> None:
+        """Send one set-up."""
+        self.number += 1
+        call = Call(target, f"{self.number:016x}", tries, time.monotonic())
+        self.note("again" if tries else "call", call)
+        if target.line is None:
+            self.over(call, "failed")
+            return
+        meta = {
+            "class": self.kind,
+            "left": str(self.left_ms),
+            "key": str(self.number),
+            "extras": "dest:0;width:1;via:-1",
+        }
+        message = {"kind": "launch", "uid": call.uid, "meta": meta, "body": "v=0\r\n"}
+        target.line.sendLine(json.dumps(message).encode())
+        leaves = self.random.random() < self.leave
+        self.calls[call.uid] = call
+        wait_s = LEAVE_S if leaves else self.left_ms / 1000 + 0.1
+        call.timer = self.reactor.callLater(wait_s, self.give_up, call, "left" if leaves else "none")
+
+    def give_up(self, call: Call, event: str) -> None:
+        """Leave without an answer."""
+        if call.target.line is not None:
+            stop = {"kind": "stop", "uid": call.uid, "meta": {}, "reason": 16}
+            call.target.line.sendLine(json.dumps(stop).encode())
+        self.over(call, event)
+
+    def answered(self, uid: str, kind: str, reason: Any) -> None:
+        """Take a final answer; what comes after it is a release."""
+        call = self.calls.get(uid)
+        if call is None:
+            return
+        if kind == "running":
+            in_time = time.monotonic() - call.sent_at <= self.left_ms / 1000
+            self.over(call, "ok" if in_time else "late")
+        elif kind == "stop":
+            self.over(call, "refused" if reason == REFUSED else "failed")
+
+    def over(self, call: Call, event: str) -> None:
+        """Note a call's end; its caller may call again."""
+        self.calls.pop(call.uid, None)
+        if call.timer is not None and call.timer.active():
+            call.timer.cancel()
+        self.note(event, call)
+        if event not in ("ok", "late") and call.tries < self.again:
+            self.reactor.callLater(self.random.uniform(0.05, 0.3), self.call, call.target, call.tries + 1)
+
+    def lab(self, words: list[str]) -> bytes:
+        """Carry out an order of the lab."""
+        match words:
+            case ["rate", rate]:
+                self.set_rate(float(rate))
+            case ["again", tries]:
+                self.again = int(tries)
+            case ["leave", share]:
+                self.leave = float(share)
+            case _:
+                return b"BAD"
+        return b"OK"
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Call as ordered; writes the control port to --ready-file once it listens."""
+    import argparse  # noqa: PLC0415
+
+    from twisted.internet import reactor as installed_reactor  # noqa: PLC0415 - installed when first named
+
+    parser = argparse.ArgumentParser(prog="standins.callers", description=__doc__.splitlines()[0])
+    parser.add_argument("--targets", type=Path, required=True)
+    parser.add_argument("--ready-file", type=Path, required=True)
+    parser.add_argument("--log", type=Path, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    told = parser.parse_args(argv)
+    reactor: Any = installed_reactor
+    settings = json.loads(told.targets.read_text())
+    crowd = Crowd(reactor, settings["class"], settings["left_ms"], told.seed, told.log.open("a"))
+    LoopingCall(crowd.log.flush).start(0.1)
+    for name, port, weight in settings["targets"]:
+        target = Target(crowd, name, weight)
+        crowd.targets.append(target)
+        reactor.connectTCP("127.0.0.1", port, target)
+
+    class Desk(Factory):
+        noisy = False
+
+        def buildProtocol(self, _address: Any) -> Orders:
+            orders = Orders()
+            orders.crowd = crowd
+            return orders
+
+    listening = reactor.listenTCP(0, Desk(), interface="127.0.0.1")
+    told.ready_file.write_text(f"{listening.getHost().port}\n")
+    reactor.run()
+    return 0
+
+
+class Orders(LineReceiver):
+    """The control port."""
+
+    delimiter = b"\n"
+    crowd: Crowd
+
+    def lineReceived(self, line: bytes) -> None:
+        """Carry out one order."""
+        words = line.decode(errors="replace").split()
+        self.sendLine(self.crowd.lab(words[1:]) if words[:1] == ["LAB"] else b"BAD")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
