Test each quiet connection on which calls stand, and all of them once one is refused

Followed through the log: the call stood at s- with 21 others on three connections; the booker's process ended at 15.05 s (every other node's connections were reset then), n156 heard no reset. Its pool tested one connection at a time, which passed, and so counted as alive until the list's word at 16.27 s and 2 s more: all were told at 18.27 s. A test on each connection brought its reset at once (15.43, 15.93, 16.43 s). Wrong were Pool.watch, which tested only the best connection, and Pool._no_connection, which took a refusal beside open connections for 'full'. Now each quiet connection that holds standing calls is tested, and all are once a new one is refused. Each of the two tests fails without its part.

--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -75,6 +75,7 @@
         self.pending: dict[str, Leg] = {}  # set-ups that wait for their answer here, oldest first
         self.heard_us = back.deadlines.now_us()
         self.heard = False
+        self.tested_us = 0
         self.parting_bytes: int | None = None  # read since our side was closed; None: it is open
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
@@ -88,6 +89,11 @@
             super().drop(why)
             self.pool.lost(self)
 
+    def test(self) -> None:
+        """Ask for a sign of life; a booker passes a test at once."""
+        self.tested_us = self.deadlines.now_us()
+        self.say({"kind": "check", "uid": PROBE, "meta": {}, "reason": 0})
+
     def part(self, why: str) -> None:
         """Close our side of the connection, end what waits on it, and read what still comes for a while.
 
@@ -212,7 +218,11 @@
         refused = failure.check("twisted.internet.error.ConnectionRefusedError") is not None
         silent = now_us - self.heard_us > limits.booker_silent_us
         if self.connections and not silent:
-            return  # it takes no more of them
+            # It takes no more of them, or its process has ended and the resets did not come through: a test
+            # brings them. One that drains refuses new ones long before its end, so this alone proves nothing.
+            for connection in self.connections if refused else ():
+                connection.test()
+            return
         # Danger: a booker whose process has died may leave its connections open and silent; refused
         # beside them was taken for 'full', and what stood there was never told as cut.
         for connection in self.connections[:]:
@@ -265,11 +275,18 @@
         now_us, silent_us = self.back.deadlines.now_us(), self.back.limits.booker_silent_us
         if not self.legs:
             return
+        holding = {leg.connection for leg in self.legs.values() if leg.standing}
         if now_us - self.heard_us > silent_us:
             self.connect()
         elif self.connections and now_us - self.heard_us > silent_us // 2 and self.probed_us <= self.heard_us:
             self.probed_us = now_us
-            self._best().say({"kind": "check", "uid": PROBE, "meta": {}, "reason": 0})
+            self._best().test()
+        # Danger: a connection whose reset did not come through stays open, silent, while tests are passed on
+        # others: its calls were told only 2 s after the list's word, which may be 7 s late. A test brings it.
+        for connection in self.connections:
+            quiet_us = now_us - max(connection.heard_us, connection.tested_us)
+            if quiet_us > silent_us // 2 and connection in holding:
+                connection.test()
 
     def cut_all(self) -> None:
         """End whatever was there."""
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -344,6 +344,49 @@
     until(lambda: booker.lost)
 
 
+def answering(peer: Peer, act: Any) -> None:
+    """Let a booker's end do something when a test comes."""
+    usual = peer.lineReceived
+
+    def received(line: bytes) -> None:
+        usual(line)
+        if json.loads(line)["kind"] == "check":
+            act()
+
+    peer.lineReceived = received  # type: ignore[method-assign]
+
+
+def test_a_connection_whose_reset_did_not_come_is_tested_beside_one_that_is_heard(stage: Stage) -> None:
+    # Tests were passed on the other one, so that the booker seemed alive for as long as the list named it.
+    dead = stage.launch(ID)
+    dead.say("running", ID, body="x")
+    until(lambda: stage.caller.got and len(stage.bookers) == 2)
+    (other,) = (one for one in stage.bookers if one is not dead)
+    answering(dead, dead.transport.abortConnection)  # what a machine answers whose process has ended
+    answering(other, lambda: other.say("checked", "0" * 16, reason=1))
+    end = time.monotonic() + 20
+    while not dead.lost:
+        assert time.monotonic() < end, "it was never tested"
+        other.say("usage", "0" * 16)
+        pause(0.1)
+
+
+def test_a_refused_connection_has_the_others_tested_at_once(stage: Stage) -> None:
+    first = stage.launch(ID)
+    first.say("running", ID, body="x")
+    until(lambda: stage.caller.got and len(stage.bookers) == 2)
+    (second,) = (one for one in stage.bookers if one is not first)
+    answering(second, second.transport.abortConnection)
+    stage.ports[0].stopListening()  # the process has ended, and only one reset comes through
+    pause(0.02)
+    first.transport.abortConnection()
+    end = time.monotonic() + 10
+    while stage.caller.kinds(ID)[1:] != [("stop", 41)]:
+        assert time.monotonic() < end, "the caller was never told"
+        second.say("usage", "0" * 16)  # it is heard: only the refusal makes it suspect
+        pause(0.1)
+
+
 def test_one_that_goes_on_with_nonsense_is_read_no_further(stage: Stage) -> None:
     booker = stage.launch(ID)
     booker.transport.write(b"{nonsense\n")
