Measure shared overload: limits that remember, a floor for stalls, cells for the lab's bookers

The laboratory's first figures were of one booker: all stood in one cell, of which the module takes the first. Cause, from the published limits: what a booker bore was noted only while it was pressed, so the 19 of its halved time stood, and a tenth of that was 0.1 a second for each of 20 members. Now what it takes unpressed counts too, and a stalled one keeps a quarter. A cold booker gets its ramp's share from all members together.

--- a/bitternbeam/fleet/pressure.py
+++ b/bitternbeam/fleet/pressure.py
@@ -20,7 +20,7 @@
 PRESSED = 0.04  # share of sends turned away or unanswered, from which a booker is pressed
 USED = 0.7  # part of the limit that must be used for it to grow
 EVEN = 0.1  # part of the limit that is split evenly
-FLOOR = 0.1  # of what the booker last bore: the limit falls no further
+FLOOR = 0.25  # of what the booker last bore: the limit falls no further, or it is found well too late
 LEAST_PER_S = 1.0
 STALLED = 0.2  # of what it bore: a pressed booker that takes less has stalled
 SLOW, FAST = 1.03, 1.055  # growth a period around what it bore, and after SLOW_PERIODS without pressure
@@ -170,6 +170,8 @@
             return False
         self.calm = 0
         self.well += 1
+        # Danger: kept at what it took while it was halved, the way back after a later stall began from there.
+        self.bore = max(self.bore, traffic.accepted)
         if self.limit < 0.5 * self.bore:
             self.limit = min(2 * self.limit, 0.9 * self.bore)
         elif self.limit < 0.9 * self.bore:
@@ -179,6 +181,16 @@
         return False
 
 
+def cold_limit(share: float, bore: float, others: Iterable[float]) -> float:
+    """Return what the whole fleet may send a booker that comes back, `share` of its usual load.
+
+    What is usual is what it bore when it was last pressed; for one never pressed, what the others take now.
+    """
+    taken = [one for one in others if one > 0]
+    usual = bore or (sum(taken) / len(taken) if taken else 0.0)
+    return max(LEAST_PER_S, share * usual)
+
+
 def total(reports: Iterable[Report], booker: str) -> tuple[Traffic, float]:
     """Return the fleet's traffic at one booker and the demand on all members."""
     traffic, demand = Traffic(), 0.0
--- a/bitternbeam/lab/fleet.py
+++ b/bitternbeam/lab/fleet.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 import socket
 import time
@@ -250,15 +251,13 @@
         found = self.ask_engine("GET", "/v1/health/service/bitternbeam?passing=1")
         return {one["Service"]["ID"] for one in found}
 
-    def view(self) -> dict[str, Any] | None:
-        """Return the published pool view as the engine holds it."""
-        import base64  # noqa: PLC0415
-
+    def record(self, name: str) -> dict[str, Any] | None:
+        """Return what a record holds in the engine, None where there is none."""
         try:
-            found = self.ask_engine("GET", "/v1/kv/bitternbeam/fleet/record/view")
+            found = self.ask_engine("GET", f"/v1/kv/bitternbeam/fleet/record/{name}")
         except LabError:
             return None
-        told: dict[str, Any] = json.loads(base64.b64decode(found[0]["Value"]))
+        told: dict[str, Any] = json.loads(base64.b64decode(found[0]["Value"]))["is"]
         return told
 
     def trapped(self, since_us: int) -> str | None:
--- a/bitternbeam/wiring/fleet_load.py
+++ b/bitternbeam/wiring/fleet_load.py
@@ -13,7 +13,8 @@
 
 from bitternbeam.configuration.node import bound_terms
 from bitternbeam.fleet.bounds import Bounds
-from bitternbeam.fleet.pressure import Pressure, Report, report_of, total
+from bitternbeam.fleet.pressure import Pressure, Report, cold_limit, report_of, total
+from bitternbeam.fleet.ramp import Health
 from bitternbeam.fleet.record import SKEW_MS
 from bitternbeam.net.coordination import KvEntry
 from bitternbeam.wiring.fleet_work import Bench, ProbeWork
@@ -61,7 +62,14 @@
     def _govern(self, work: ProbeWork, reports: list[Report]) -> None:
         traffic, demand = total(reports, work.booker)
         pressed = work.governor.step(traffic)
-        work.pressure = Pressure(work.governor.limit, demand, max(1, len(reports)), pressed)
+        limit = work.governor.limit
+        told = work.ramp.told
+        if told.health is not Health.READY:
+            # Cold, it bears only so much from all members together, however many they are.
+            others = [total(reports, name)[0].accepted for name in self.probes if name != work.booker]
+            cold = cold_limit(told.share, work.governor.bore, others)
+            limit = cold if limit is None else min(limit, cold)
+        work.pressure = Pressure(limit, demand, max(1, len(reports)), pressed)
 
     def take(self, work: ProbeWork, now_us: int) -> None:
         """Take one booker's pressure into the bounds: one's own, or the one published."""
