--- /dev/null
+++ b/bitternbeam/decision/handover.py
@@ -0,0 +1,133 @@
+"""What a controller has learned of its switches, written out by an old process and taken by the new one.
+
+A module that starts from nothing finds its budgets in dozens of intervals: through an upgrade it refuses what
+the old one could have sent, and sends where the old one had learned not to. Only what was learned is handed
+over, never calls: budgets, rates, waits, coldness and suspicion of each switch, and the mix of traffic.
+
+Times are the microseconds of the clock that both processes share (Unix time). Whatever does not fit is
+refused as a whole: half a state is worse than none.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import Any
+
+from bitternbeam.decision.choice import Controller
+from bitternbeam.decision.interface import Settings
+from bitternbeam.decision.state import Group, Switch
+
+FORMAT = 1
+OLD_US = 5_000_000  # what was written longer ago is no longer true
+SKEW_US = 100_000
+
+PLAIN = ("budget", "largest", "rate", "wait_us", "errors")  # numbers, 0 or more
+TIMES = ("started_us", "wait_at_us", "suspect_since_us")
+MAYBE = ("cold_since_us", "base_us", "free", "size")  # numbers or None
+FLAGS = ("suspect", "may_be_dead", "says_high")
+
+
+def digest(settings: Settings, program: str) -> str:
+    """Return what both processes must agree on: the settings and the program's version."""
+    return hashlib.blake2b(f"{program}\n{settings!r}".encode(), digest_size=16).hexdigest()
+
+
+def _groups(counts: dict[Group, float]) -> list[list[Any]]:
+    return [[name, within, round(count, 4)] for (name, within), count in counts.items() if count]
+
+
+def taken(module: Controller, now_us: int, agreed: str) -> dict[str, Any]:
+    """Return what a module has learned, as JSON carries it."""
+    switches = {}
+    for one in module.switches.values():
+        row = {key: getattr(one, key) for key in (*PLAIN, *TIMES, *MAYBE, *FLAGS, "cell", "pressed")}
+        switches[one.name] = row | {"asked": _groups(one.asked)}
+    return {
+        "format": FORMAT,
+        "agreed": agreed,
+        "at_us": now_us,
+        "best_rate": module.best_rate,
+        "stood_rate": module.stood_rate,
+        "stood_in": [[cell, count] for cell, count in module.stood_in.items()],
+        "seen": _groups(module.seen),
+        "switches": switches,
+    }
+
+
+class MisfitError(ValueError):
+    """A state that can't be taken; the text says why, on one line."""
+
+
+def _number(value: Any, least: float = 0.0) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise MisfitError("a figure is no number")
+    if value < least:
+        raise MisfitError("a figure is out of range")
+    return value
+
+
+def _read_groups(rows: Any, kinds: Any) -> dict[Group, float]:
+    found = {}
+    for name, within, count in rows:
+        if name not in kinds or not isinstance(within, bool):
+            raise MisfitError("a class is not in the settings")
+        found[(name, within)] = float(_number(count))
+    return found
+
+
+def _read_switch(raw: dict[str, Any], into: Switch, kinds: Any) -> dict[str, Any]:
+    """Read one switch's row; returns what to set, {} where it is not the same process any more."""
+    if raw["cell"] != into.cell or raw["started_us"] != into.started_us:
+        return {}  # replaced between the two: what was learned is of another one
+    found: dict[str, Any] = {key: float(_number(raw[key])) for key in PLAIN}
+    found |= {key: int(_number(raw[key], -math.inf)) for key in TIMES}
+    found |= {key: None if raw[key] is None else _number(raw[key], -math.inf) for key in MAYBE}
+    for key in FLAGS:
+        if not isinstance(raw[key], bool):
+            raise MisfitError("a flag is none")
+        found[key] = raw[key]
+    found["pressed"] = int(_number(raw["pressed"]))
+    found["asked"] = _read_groups(raw["asked"], kinds)
+    return found
+
+
+def given(module: Controller, raw: Any, now_us: int, agreed: str) -> int:
+    """Let a module go on from a state; returns of how many switches. A MisfitError changes nothing."""
+    try:
+        if raw["format"] != FORMAT:
+            raise MisfitError("it is of another form")
+        if raw["agreed"] != agreed:
+            raise MisfitError("it is of another program version or other settings")
+        at_us = int(_number(raw["at_us"]))
+        if at_us > now_us + SKEW_US:
+            raise MisfitError("it is from the future")
+        if now_us - at_us > OLD_US:
+            raise MisfitError(f"it is {(now_us - at_us) / 1e6:.1f} s old")
+        rates = {key: float(_number(raw[key])) for key in ("best_rate", "stood_rate")}
+        stood_in = {int(cell): int(_number(count)) for cell, count in raw["stood_in"]}
+        seen = _read_groups(raw["seen"], module.kinds)
+        rows = {
+            one.name: _read_switch(raw["switches"][one.name], one, module.kinds)
+            for one in module.switches.values()
+            if one.name in raw["switches"]
+        }
+    except MisfitError:
+        raise
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise MisfitError(f"it is not whole ({type(error).__name__})") from None
+    module.best_rate, module.stood_rate = rates["best_rate"], rates["stood_rate"]
+    module.stood_in = {**module.stood_in, **stood_in}
+    module.seen.update(seen)
+    count = 0
+    for name, row in rows.items():
+        switch = module.switches[name]
+        for key, value in row.items():
+            if key == "asked":
+                switch.asked.update(value)
+            else:
+                setattr(switch, key, value)
+        if row:
+            count += 1
+            module.active[name] = switch
+    return count
