--- a/standins/board.py
+++ b/standins/board.py
@@ -11,11 +11,12 @@
 from pathlib import Path
 from typing import Any
 
-from twisted.internet.protocol import Factory
 from twisted.internet.task import LoopingCall
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from standins.serving import serve
+
 LIST = (
     b'{"rev": 1, "pool": {"version": 1, "full": true, "servers": [{"id": "s-1", "addr": "127.0.0.1:9", '
     b'"zone": "here", "kind": "std", "cell": 0, "state": "draining", "weight": 1, "started_ms": 0}]}}'
@@ -27,11 +28,12 @@
 
     delimiter = b"\n"
     ticks: Any = None
+    notice = LIST
 
     def lineReceived(self, line: bytes) -> None:
         """Tell the list once, and that nothing is new every second."""
         if line == b"watch 0":
-            self.sendLine(LIST)
+            self.sendLine(self.notice)
         if self.ticks is None:
             self.ticks = LoopingCall(self.sendLine, b"1")
             self.ticks.start(1.0)
@@ -52,15 +54,7 @@
     parser.add_argument("--ready-file", type=Path, required=True)
     told = parser.parse_args(argv)
     reactor: Any = installed_reactor
-
-    class Desk(Factory):
-        noisy = False
-        protocol = Reader
-
-    listening = reactor.listenTCP(0, Desk(), interface="127.0.0.1")
-    told.ready_file.write_text(f"{listening.getHost().port}\n")
-    reactor.run()
-    return 0
+    return serve(reactor, told.ready_file, Reader)
 
 
 if __name__ == "__main__":
--- a/standins/booker.py
+++ b/standins/booker.py
@@ -25,6 +25,9 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from standins.board import Reader
+from standins.serving import serve
+
 TURNED_AWAY_COST = 0.2  # of a set-up's work
 STALLED_MOST = 2.0  # seconds of work that a stalled booker keeps; what comes past that is never answered
 
@@ -141,29 +144,20 @@
         return b"OK"
 
 
-class Board(LineReceiver):
+class Board(Reader):
     """One controller at the notice board, or the lab."""
 
-    delimiter = b"\n"
-    house: House
-    ticks: Any = None
+    def __init__(self, house: House) -> None:
+        self.house = house
+        self.notice = house.notice()
 
     def lineReceived(self, line: bytes) -> None:
-        """Tell the list once and then that nothing is new, or carry out an order."""
+        """Carry out an order, or serve as a board."""
         words = line.decode(errors="replace").split()
         if words[:1] == ["LAB"]:
             self.sendLine(self.house.lab(words[1:]))
-            return
-        if line == b"watch 0":
-            self.sendLine(self.house.notice())
-        if self.ticks is None:
-            self.ticks = LoopingCall(self.sendLine, b"1")
-            self.ticks.start(1.0)
-
-    def connectionLost(self, reason: Failure = Failure(ConnectionError())) -> None:  # noqa: B008
-        """Tell it no more."""
-        if self.ticks is not None:
-            self.ticks.stop()
+        else:
+            super().lineReceived(line)
 
 
 def main(argv: list[str] | None = None) -> int:
@@ -189,18 +183,7 @@
         house.ports[name] = reactor.listenTCP(0, booker, interface="127.0.0.1").getHost().port
     told.ports.write_text(json.dumps(house.ports))
 
-    class Desk(Factory):
-        noisy = False
-
-        def buildProtocol(self, _address: Any) -> Board:
-            board = Board()
-            board.house = house
-            return board
-
-    listening = reactor.listenTCP(0, Desk(), interface="127.0.0.1")
-    told.ready_file.write_text(f"{listening.getHost().port}\n")
-    reactor.run()
-    return 0
+    return serve(reactor, told.ready_file, lambda: Board(house))
 
 
 if __name__ == "__main__":
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -21,11 +21,13 @@
 from random import Random
 from typing import IO, Any
 
-from twisted.internet.protocol import Factory, ReconnectingClientFactory
+from twisted.internet.protocol import ReconnectingClientFactory
 from twisted.internet.task import LoopingCall
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from standins.serving import serve
+
 REFUSED = 34
 LEAVE_S = 0.3
 
@@ -208,26 +210,16 @@
         target = Target(crowd, name, weight)
         crowd.targets.append(target)
         reactor.connectTCP("127.0.0.1", port, target)
-
-    class Desk(Factory):
-        noisy = False
-
-        def buildProtocol(self, _address: Any) -> Orders:
-            orders = Orders()
-            orders.crowd = crowd
-            return orders
-
-    listening = reactor.listenTCP(0, Desk(), interface="127.0.0.1")
-    told.ready_file.write_text(f"{listening.getHost().port}\n")
-    reactor.run()
-    return 0
+    return serve(reactor, told.ready_file, lambda: Orders(crowd))
 
 
 class Orders(LineReceiver):
     """The control port."""
 
     delimiter = b"\n"
-    crowd: Crowd
+
+    def __init__(self, crowd: Crowd) -> None:
+        self.crowd = crowd
 
     def lineReceived(self, line: bytes) -> None:
         """Carry out one order."""
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -25,6 +25,8 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
+from standins.serving import serve
+
 CUTS = ("none", "there", "back", "both")
 HELD_BYTES = 4 << 20  # of one direction while it is cut; past that the connection is reset
 
@@ -235,7 +237,9 @@
     """The control port."""
 
     delimiter = b"\n"
-    relay: Relay
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay = relay
 
     def lineReceived(self, line: bytes) -> None:
         """Answer one order."""
@@ -258,19 +262,7 @@
     told = parser.parse_args(argv)
     reactor: Any = installed_reactor
     relay = Relay(reactor, told.seed)
-
-    class Desk(Factory):
-        noisy = False
-
-        def buildProtocol(self, _address: Any) -> Orders:
-            orders = Orders()
-            orders.relay = relay
-            return orders
-
-    listening = reactor.listenTCP(0, Desk(), interface="127.0.0.1")
-    told.ready_file.write_text(f"{listening.getHost().port}\n")
-    reactor.run()
-    return 0
+    return serve(reactor, told.ready_file, lambda: Orders(relay))
 
 
 if __name__ == "__main__":
