--- a/bitternbeam/lab/judging.py
+++ b/bitternbeam/lab/judging.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Iterable
 from dataclasses import dataclass
 from itertools import pairwise
@@ -160,8 +159,3 @@
     ordered = sorted(values)
     rank = max(1, -(-len(ordered) * share // 1))  # the ceiling
     return float(ordered[min(len(ordered), int(rank)) - 1])
-
-
-def shown(value: Any) -> str:
-    """Return one JSON line."""
-    return json.dumps(value, sort_keys=True)
