--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,121 +1,123 @@
-"""A planned restart while a booker hangs, with a class whose requests may not be repeated.
-
-Two controllers, one booker, one client that keeps to the protocol page: it sends again only what was refused
-with a cause that says that trying again is harmless.
-"""
+"""A booker's process dies while many calls stand there that came on one client connection."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-import signal
 import time
 from typing import Any
 
 from review.common import (
-    TROUBLE, Board, Case, NotRunError, call_class, config, dial, entry, free_port, play, settings, whole_list,
+    TROUBLE, Board, Case, Line, NotRunError, call_class, config, dial, entry, free_port, play, settings,
+    whole_list,
 )  # fmt: skip
 
-CLASS = "cabin-sale"
-AIM_MS, DEADLINE_MS = 3500, 14000
-LEFT_MS = 5000  # 36% of the class's give-up time
-HARMLESS = (34, 42, 102)
+CLASS = "slot-hold"
+CALLS = 1600
+CALLS_PER_S = 160
+WITHIN_S = 8.0 + 0.050  # "within 8 s of its end", and "every time limit is 50 ms longer"
 
 
 class Booker:
-    """A booker with one line of work: it may hang, and then goes on with what it has taken.
+    """A sound booker: answers at once but for set-ups with the body of `slow`, which it answers after 1 s."""
+
+    def __init__(self, case: Case, name: str) -> None:
+        self.case, self.name = case, name
+        self.writers: list[asyncio.StreamWriter] = []
+        self.standing: dict[str, asyncio.StreamWriter] = {}
+        self.report = {"load": "free:3000;size:3000;load_share:0.5;depth:0"}
 
-    A set-up that was given up meanwhile is still worked on, as the brief says of this deployment.
-    """
+    def say(self, writer: asyncio.StreamWriter, **message: Any) -> None:
+        if not writer.is_closing():
+            writer.write(json.dumps(message).encode() + b"\n")
 
-    def __init__(self, case: Case) -> None:
-        self.case = case
-        self.hangs = False
-        self.reached: dict[str, float] = {}  # set-ups that came whole
-        self.proved_not_run: set[str] = set()
-        self.applied: dict[str, list[str]] = {}  # what was done, by called number: ids of the set-ups
-        self.work: asyncio.Queue[tuple[dict[str, Any], asyncio.StreamWriter]] = asyncio.Queue()
+    def answer(self, uid: str, writer: asyncio.StreamWriter) -> None:
+        self.standing[uid] = writer
+        self.say(writer, kind="running", uid=uid, meta=self.report, body=f"chair at {self.name}\r\n")
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        writer.write(b'{"kind":"usage","uid":"0000000000000000","meta":{"load":"free:100;size:100"}}\n')
+        self.writers.append(writer)
+        self.say(writer, kind="usage", uid="0" * 16, meta=self.report)
         while raw := await reader.readline():
             message = json.loads(raw)
-            if message["kind"] == "launch":
-                self.reached[message["uid"]] = self.case.note("booker", f"got {raw.decode().strip()}")
-                self.work.put_nowait((message, writer))
+            uid = message["uid"]
+            if message["kind"] == "check":
+                self.say(writer, **{**message, "kind": "checked", "reason": 1})
+            elif message["kind"] == "launch" and message["body"] == "slow\r\n":
+                asyncio.get_running_loop().call_later(1.0, self.answer, uid, writer)
+            elif message["kind"] == "launch":
+                self.answer(uid, writer)
             elif message["kind"] == "stop":
-                self.case.note("booker", f"got {raw.decode().strip()}")
-            elif message["kind"] == "check" and not self.hangs:
-                answer = {"kind": "checked", "uid": message["uid"], "meta": {}, "reason": 1}
-                writer.write(json.dumps(answer).encode() + b"\n")
-
-    async def go(self) -> None:
-        """Do the work, one set-up after the other."""
-        while True:
-            message, writer = await self.work.get()
-            while self.hangs:
-                await asyncio.sleep(0.02)
-            uid, key = message["uid"], message["meta"]["key"]
-            self.applied.setdefault(key, []).append(uid)
-            self.case.note("booker", f"ran {uid} for number {key}, time {len(self.applied[key])}")
-            answer = {"kind": "running", "uid": uid, "meta": {}, "body": f"ticket {key}\r\n"}
-            if not writer.is_closing():
-                writer.write(json.dumps(answer).encode() + b"\n")
+                self.standing.pop(uid, None)
+
+    def die(self, server: asyncio.AbstractServer) -> float:
+        """End as a killed process does: new connections are refused, open ones reset, the calls are cut."""
+        server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.standing.clear()
+        return self.case.note(self.name, "its process died: connections reset, calls cut")
+
+    def end(self, uid: str) -> None:
+        if (writer := self.standing.pop(uid, None)) is not None:
+            self.say(writer, kind="stop", uid=uid, meta=self.report, reason=16)
 
 
 async def scenario(case: Case) -> list[str]:
-    booker = Booker(case)
-    going = asyncio.create_task(booker.go())
-    listed = whole_list(entry("s-1", await case.serve(booker.handle), 0))
+    bookers = [Booker(case, "s-1"), Booker(case, "s-2")]
+    ports = [await case.serve(one.handle) for one in bookers]
+    server = case.servers[0]
+    listed = whole_list(*(entry(one.name, port, cell) for cell, (one, port) in enumerate(zip(bookers, ports, strict=True))))
     board = await case.serve(Board(listed).handle)
-    given = settings([call_class(CLASS, AIM_MS, DEADLINE_MS, "once")], [0], gateways=2)
-    ports = {"n1": free_port(), "n2": free_port()}
-    for name, port in ports.items():
-        case.start(name, config(port, board, given, listed) | {"name": name})
-    first, second = await dial(ports["n1"]), await dial(ports["n2"])
-
-    first.launch("00000000000000a0", CLASS, LEFT_MS, "number-0", "warm-up\r\n")
-    await asyncio.sleep(1.0)
-    if [m["kind"] for _, m in first.of("00000000000000a0")] != ["running"]:
-        raise NotRunError("the warm-up was not served")
-
-    uids: dict[str, str] = {}
-    if TROUBLE:
-        booker.hangs = True
-        case.note("booker", "hangs")
-        case.signal("n1", signal.SIGTERM)
-        began = time.time()
-    # 0.1 to 0.4 s after SIGTERM: "on open ones requests keep coming for 0.2 s longer".
-    for number in range(1, 5):
-        await asyncio.sleep(0.1)
-        uid = uids[f"number-{number}"] = f"{0xB0 + number:016x}"
-        first.launch(uid, CLASS, LEFT_MS, f"number-{number}", "buy\r\n")
-        case.note("client", f"sent {uid} for number-{number} to n1")
+    given = settings([call_class(CLASS, 2000, 9000)], [0, 1])
+    port = free_port()
+    case.start("n1", config(port, board, given, listed))
+    line = await dial(port)
+    lines: list[Line] = [line]
+    uids = [f"{0xA0000 + number:016x}" for number in range(CALLS)]
+    began = time.time()
+    for number, uid in enumerate(uids):
+        line.launch(uid, CLASS, 3000, f"number-{number}", "hold\r\n")
+        await asyncio.sleep(max(0.0, began + number / CALLS_PER_S - time.time()))
+    await asyncio.sleep(0.3)
+    stands = {m["uid"] for _, m in line.heard if m["kind"] == "running"}
+    case.note("client", f"{len(stands)} of {CALLS} calls stand, {len(bookers[0].standing)} of them at s-1")
+    if len(stands) < CALLS * 0.95 or len(bookers[0].standing) < CALLS * 0.9:
+        raise NotRunError("too few calls stand")
+    at_first = set(bookers[0].standing)
+    waiting = [f"{0xB0000 + number:016x}" for number in range(10)]
+    for number, uid in enumerate(waiting):
+        line.launch(uid, CLASS, 3000, f"other-{number}", "slow\r\n")
+    await asyncio.sleep(0.1)
+    case.note("client", f"{len(waiting)} more set-ups are sent on the same connection and not answered yet")
+    over = time.time()
     if TROUBLE:
-        # SIGKILL would come 3 s (the longest deadline counts as 3 s) and 0.7 s after SIGTERM.
-        if not await case.ended("n1", 3.7 - (time.time() - began)):
-            case.signal("n1", signal.SIGKILL)
-            await case.ended("n1", 5.0)
-        booker.hangs = False
-        case.note("booker", "goes on")
-    await asyncio.sleep(2.0)
-
+        over = bookers[0].die(server)
+    else:
+        for uid in sorted(at_first):  # they end one after the other, as they began
+            bookers[0].end(uid)
+            await asyncio.sleep(1 / 400)
+    await asyncio.sleep(3.0)
+    if line.closed:
+        case.note("client", f"its connection ended {line.closed - over:.3f} s after; it connects again")
+        lines.append(await dial(port))
+        # Some other call is served there: from then on nothing keeps the controller from sending releases.
+        lines[1].launch("00000000000c0000", CLASS, 3000, "again", "hold\r\n", cell=1)
+    await asyncio.sleep(WITHIN_S - 3.0 + 1.0)
+    heard = [(at, message) for one in lines for at, message in one.heard]
+    released = {m["uid"]: at for at, m in heard if m["kind"] == "stop"}
+    if line.closed:
+        again = [m["kind"] for m in (m for _, m in lines[1].of("00000000000c0000"))]
+        case.note("client", f"on the new connection: a new call was answered {again}")
+    answered = {m["uid"] for _, m in heard if m["kind"] in ("running", "stop")}
+    left = sorted(uid for uid in at_first & stands if uid not in released or released[uid] > over + WITHIN_S and TROUBLE)
+    lost = [uid for uid in waiting if uid not in answered]
+    case.note("client", f"{len(at_first & stands) - len(left)} of {len(at_first & stands)} ended calls were released")
     broken = []
-    for key, uid in uids.items():
-        answers = first.of(uid)
-        case.note("client", f"{uid} ({key}): n1 answered {[m for _, m in answers]}")
-        refused = [m for _, m in answers if m["kind"] == "stop" and m["reason"] in HARMLESS]
-        if refused and uid in booker.reached:
-            broken.append(f"{uid}: its attempt was out at the booker, and it was refused with {refused[0]}")
-        if refused:
-            again = f"{int(uid, 16) + 0x100:016x}"
-            second.launch(again, CLASS, LEFT_MS, key, "buy\r\n")
-            case.note("client", f"{key}: refused, so it is sent again, as {again} to n2")
-    await asyncio.sleep(2.0)
-    for key, ran in booker.applied.items():
-        if len(ran) > 1:
-            broken.append(f"{key}: ran {len(ran)} times at the booker, as {ran}")
-    going.cancel()
+    if left:
+        broken.append(f"{len(left)} calls that are over were not released within {WITHIN_S} s, as {left[0]}")
+    if lost:
+        broken.append(f"{len(lost)} of {len(waiting)} requests: their connection ended with no answer, as {lost[0]}")
     return broken
 
 
--- a/review/common.py
+++ b/review/common.py
@@ -254,12 +254,12 @@
         self.writer.transport.abort()
 
 
-async def dial(port: int, within_s: float = 15.0) -> Line:
-    """Connect to a controller, and return once a test has passed there."""
+async def dial(port: int, within_s: float = 15.0, source: str = HOST) -> Line:
+    """Connect to a controller from a loopback address, and return once a test has passed there."""
     until = time.time() + within_s
     while time.time() < until:
         with contextlib.suppress(OSError):
-            line = Line(*await asyncio.open_connection(HOST, port))
+            line = Line(*await asyncio.open_connection(HOST, port, local_addr=(source, 0)))
             line.say(kind="check", uid="0" * 16, meta={}, reason=0)
             for _ in range(50):
                 await asyncio.sleep(0.02)
