--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,6 +25,7 @@
         self.case, self.name = case, name
         self.writers: list[asyncio.StreamWriter] = []
         self.standing: dict[str, asyncio.StreamWriter] = {}
+        self.ran: dict[str, float] = {}
         self.report = {"load": "free:3000;size:3000;load_share:0.5;depth:0"}
 
     def say(self, writer: asyncio.StreamWriter, **message: Any) -> None:
@@ -33,6 +34,7 @@
 
     def answer(self, uid: str, writer: asyncio.StreamWriter) -> None:
         self.standing[uid] = writer
+        self.ran[uid] = time.time()
         self.say(writer, kind="running", uid=uid, meta=self.report, body=f"chair at {self.name}\r\n")
 
     async def handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -113,6 +115,17 @@
     left = sorted(uid for uid in at_first & stands if uid not in released or released[uid] > over + WITHIN_S and TROUBLE)
     lost = [uid for uid in waiting if uid not in answered]
     case.note("client", f"{len(at_first & stands) - len(left)} of {len(at_first & stands)} ended calls were released")
+    def at(times: dict[str, float], uid: str) -> str:
+        return f"{times[uid] - case.began:.3f}" if uid in times else "never"
+
+    answers = {m["uid"]: f"{m['kind']} {at - case.began:.3f}" for at, m in reversed(heard)}
+    sent = {uid: moment for one in lines for uid, moment in one.sent.items()}
+    for uid in sent:
+        ran = {**bookers[1].ran, **bookers[0].ran}
+        case.lines.append(
+            f"call {uid}: sent {at(sent, uid)}, ran {at(ran, uid)}, first heard: {answers.get(uid, 'nothing')}, "
+            f"released {at(released, uid)}"
+        )
     broken = []
     if left:
         broken.append(f"{len(left)} calls that are over were not released within {WITHIN_S} s, as {left[0]}")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -160,15 +160,15 @@
         self.send("ACK", number, tag)
         if number not in self.finals:
             self.finals[number] = status
-            if status != 200:
-                self.case.note("caller", f"{number}: {status}")
-            else:
+            self.case.note("caller", f"{number}: answered {status}")
+            if status == 200:
                 asyncio.get_running_loop().call_later(0.3, self.send, "BYE", number, tag)
 
     async def dial(self, seconds: float) -> None:
         until = time.time() + seconds
         while time.time() < until:
             self.dialled += 1
+            self.case.note("caller", f"n{self.dialled:05d}: INVITE")
             self.send("INVITE", f"n{self.dialled:05d}", body=SDP)
             await asyncio.sleep(1 / CALLS_PER_S)
 
--- a/review/common.py
+++ b/review/common.py
@@ -225,6 +225,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.heard: list[tuple[float, dict[str, Any]]] = []
+        self.sent: dict[str, float] = {}
         self.closed = 0.0
         self.task = asyncio.create_task(self._read())
 
@@ -241,6 +242,7 @@
     def launch(self, uid: str, kind: str, left_ms: int, key: str, body: str, cell: int = 0) -> None:
         """Send a set-up."""
         meta = {"class": kind, "left": str(left_ms), "key": key, "extras": f"dest:{cell};width:1;via:-1"}
+        self.sent[uid] = time.time()
         self.say(kind="launch", uid=uid, meta=meta, body=body)
 
     def of(self, uid: str) -> list[tuple[float, dict[str, Any]]]:
