--- a/review/common.py
+++ b/review/common.py
@@ -50,9 +50,9 @@
         self.lines.append(f"{now - self.began:9.3f} {who:<10} {what}")
         return now
 
-    def start(self, name: str, config: dict[str, Any], run: str = "", **environment: str) -> None:
-        """Start one controller as the deploy file says, or with another command."""
-        run = run or tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    def start(self, name: str, config: dict[str, Any], **environment: str) -> None:
+        """Start one controller as the deploy file says."""
+        run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         home = self.temporary / f"{name}-{len(self.logs)}"
         home.mkdir()
         (home / "config.json").write_text(json.dumps(config))
