A burst written in one turn of the loop does not cut off a client that reads

Cause: ClientConnection.send counted every message written while the transport's buffer was over its 64 KiB as left unread, and aborted at client_backlog. Twisted writes in the loop's next turn, so whatever one turn writes is in the buffer, whether the client reads or not.

Change: a client that does not read is known by progress. StallTimer ends a connection once the kernel has taken none of its pending output for a time: client_unread_us (1 s) with more than client_backlog messages unread, stalled_us (2 s) with fewer. The same cause on related paths goes with it: the end of the process, one read that brings hundreds of messages, a close with many requests open, and stalled_us, which cut off a peer that read all the time if its backlog was never empty.

test_a_client_with_too_many_unread_messages_is_disconnected asserted the fault: its client's kernel buffers were empty, and it was cut off before the transport's first turn to write. Now the buffers are full, so that the client really reads nothing, and it is cut off at client_unread_us to the microsecond, with the same number of messages.

--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -24,6 +24,7 @@
     client_excess_connections: int = 32  # connections over the limit whose requests are refused
     client_requests: int = 2_000  # open on one connection
     client_backlog: int = 256  # messages queued for a client that does not read
+    client_unread_us: int = SECOND  # a client that takes nothing of more than these is disconnected
     client_recheck_us: int = 25 * MS  # a client last read longer ago is read again before a send
     booker_connections: int = 12  # to one booker; further set-ups share them
     booker_fleet_connections: int = 96  # to one booker from the whole fleet, divided equally
--- a/bitternbeam/net/platform/client_connection.py
+++ b/bitternbeam/net/platform/client_connection.py
@@ -13,6 +13,7 @@
 from bitternbeam.net.platform.client_requests import ClientRequest, CloseCause, ConnectionState, QueuedRequest
 from bitternbeam.net.platform.json_lines import CAUSE_REFUSED, JsonLines, Message, message_uid
 from bitternbeam.net.platform.request_parsing import is_request_id
+from bitternbeam.net.platform.unread_output import UnreadBacklog
 from bitternbeam.tables.deadlines import Deadline, Deadlines
 
 MAX_READS_PER_POLL = 4  # each reads up to 64 KiB, four times the longest message
@@ -78,7 +79,9 @@
         self._polling = self._offering = False
         self._received = self._message_ended = False  # reset before each read
         self._has_written = False
-        self._unread_messages = 0  # written while the client did not read
+        self._unread_backlog = UnreadBacklog(
+            owner.deadlines, owner.limits, self._bytes_taken, self._abort_stalled
+        )
 
     @property
     def busy(self) -> bool:
@@ -221,15 +224,13 @@
             self._offering = False
 
     def send(self, message: Message) -> None:
-        """Send a message; a client with too many unread messages is disconnected."""
+        """Send a message; a client with too many unread messages is disconnected unless it reads them."""
         if self.state in (ConnectionState.CLOSING, ConnectionState.CLOSED):
             return
         self._has_written = True
         super().send(message)
         if self.transport.producerPaused:
-            self._unread_messages += 1
-            if self._unread_messages > self.limits.client_backlog:
-                self._abort_stalled()
+            self._unread_backlog.message_written(self.transport)
 
     def send_stop(self, uid: str, cause: int, stay_away_us: int = 0) -> None:
         """Send a refusal, a failure or a release; a `stay_away_us` above 0 is sent as its wait in ms."""
@@ -237,8 +238,8 @@
         self.send({"kind": "stop", "uid": uid, "meta": meta, "reason": cause})
 
     def resumeProducing(self) -> None:
-        """Reset the count of unread messages: the client reads again."""
-        self._unread_messages = 0
+        """Forget the unread messages: all of them have been sent."""
+        self._unread_backlog.clear()
         super().resumeProducing()
 
     # Closing.
@@ -269,6 +270,7 @@
         if not self.is_open:
             return  # disconnected for too many unread messages
         self.state = ConnectionState.CLOSING
+        self._unread_backlog.clear()
         self.owner.connection_closed(self)
         self.close_gracefully(cause, make_room)
 
@@ -291,6 +293,7 @@
             return
         self.state = ConnectionState.CLOSED
         self.is_open = False
+        self._unread_backlog.clear()
         self._apply_stops()
         self.queued_requests.clear()
         self.owner.connection_closed(self)
--- a/bitternbeam/net/platform/json_lines.py
+++ b/bitternbeam/net/platform/json_lines.py
@@ -14,7 +14,8 @@
 from bitternbeam.counters import Counters
 from bitternbeam.limits import Limits
 from bitternbeam.net.platform.lingering_close import LingeringClose
-from bitternbeam.tables.deadlines import Deadline, Deadlines
+from bitternbeam.net.platform.unread_output import StallTimer, pending_output_bytes
+from bitternbeam.tables.deadlines import Deadlines
 
 Message = dict[str, Any]
 
@@ -42,10 +43,11 @@
         self.limits = limits
         self.counters = counters
         self.MAX_LENGTH = limits.line_bytes  # LineReceiver's name
-        self.stall_timer: Deadline | None = None
+        self.stall_timer = StallTimer(deadlines, limits.stalled_us, self._bytes_taken, self._abort_stalled)
         self.is_open = False
         self.lingering_close: LingeringClose | None = None  # set by `close_gracefully`
         self.bytes_read = 0
+        self.bytes_written = 0
 
     def connectionMade(self) -> None:
         """Disable Nagle's algorithm, and watch for a peer that does not read."""
@@ -56,8 +58,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Cancel the timers."""
         self.is_open = False
-        if self.stall_timer:
-            self.stall_timer.cancel()
+        self.stall_timer.stop()
         if self.lingering_close:
             self.lingering_close.connection_closed()
 
@@ -75,18 +76,18 @@
 
         The transport calls this at each write while its buffer is full; the time-out starts at the first.
         """
-        if self.stall_timer is None:
-            self.stall_timer = self.deadlines.after(self.limits.stalled_us, self._abort_stalled)
+        self.stall_timer.start()
 
     def resumeProducing(self) -> None:
-        """Cancel the time-out: the peer reads again."""
-        if self.stall_timer:
-            self.stall_timer.cancel()
-            self.stall_timer = None
+        """Cancel the time-out: the peer has been sent all output."""
+        self.stall_timer.stop()
 
     def stopProducing(self) -> None:
         """Do nothing: messages are only sent on demand."""
 
+    def _bytes_taken(self) -> int:
+        return self.bytes_written - pending_output_bytes(self.transport)
+
     def _abort_stalled(self) -> None:
         self.counters.add(f"{self.name}.stalled")
         self.is_open = False
@@ -129,8 +130,7 @@
         self.is_open = False
         self.clearLineBuffer()
         self.counters.add(f"{self.name}.closed.{cause}")
-        if self.stall_timer:
-            self.stall_timer.cancel()
+        self.stall_timer.stop()
         self.lingering_close = LingeringClose(self.transport, self.deadlines, self.limits, self.counters)
         self.lingering_close.start(make_room)
 
@@ -171,7 +171,9 @@
     def send(self, message: Message) -> None:
         """Send a message."""
         self.counters.add(f"{self.name}.messages_out")
-        self.transport.write(json.dumps(message, separators=(",", ":")).encode() + b"\n")
+        line = json.dumps(message, separators=(",", ":")).encode() + b"\n"
+        self.bytes_written += len(line)
+        self.transport.write(line)
 
 
 def message_uid(message: Message) -> str:
