A request that may have run and may not run twice is failed, never refused

Cause: the core did not know a class's idempotency. CallTable.hang_up_all refused each pending call by itself, past the decision module, which alone makes that distinction.

Change: each call remembers whether an attempt that has ended may have run, and send_final_answer turns a refusal into a failure where the class is not repeatable and an attempt is out or may have run, whoever decided on the refusal. The same cause on related paths: a limit that ended a call looked at its last attempt only, and the core passed on a module's refusal or repeat of such a call.

--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -13,7 +13,7 @@
 from bitternbeam.core.admission import Rejected, admit
 from bitternbeam.core.calls import Attempt, AttemptEnd, CallState, Offer
 from bitternbeam.core.ports import Clock, DecisionModule, Frontend
-from bitternbeam.core.sending import limit_reason, may_have_run, rejection_reason, staleness_reason
+from bitternbeam.core.sending import limit_reason, rejection_reason, staleness_reason
 from bitternbeam.core.table import Call, CallTable
 from bitternbeam.counters import Counters
 from bitternbeam.decision import interface as api
@@ -254,11 +254,13 @@
         """Send an attempt if the rules and the limiter allow it."""
         now_us, uid, switch = self.clock.now_us(), call.offer.uid, action.switch
         why = rejection_reason(call, switch, now_us, self.listing, self.settings)
+        if not why and not self.is_repeatable(call):
+            why = "may_have_run"
         if not why:
             why, final = limit_reason(call, switch, now_us, self.limiter)
             if final:
                 self.counters.add(f"sends.barred.{why}")
-                self.send_final_answer(call, api.Fail(uid) if may_have_run(call) else api.Refuse(uid))
+                self.send_final_answer(call, api.Refuse(uid))
                 self._report_not_sent(uid, call.attempts, switch, finished=True)
                 return
         number = call.attempts
--- a/bitternbeam/core/sending.py
+++ b/bitternbeam/core/sending.py
@@ -6,10 +6,9 @@
 from bitternbeam.core.listing import Listing
 from bitternbeam.core.ports import TrafficLimiter
 from bitternbeam.core.table import Call
-from bitternbeam.decision.interface import Outcome, Settings
+from bitternbeam.decision.interface import Settings
 
 OVER_SHARE = "over_share"  # the limiter's only reason after which another booker may be tried
-NEVER_RAN = (Outcome.TURNED_AWAY, Outcome.NO_CONNECTION, Outcome.NOT_SENT)
 
 
 def rejection_reason(call: Call, booker: str, now_us: int, listing: Listing, settings: Settings) -> str:
@@ -57,8 +56,3 @@
     """
     why = bounds.try_send(booker, call.sent_attempts > 0, call.offer, now_us) if bounds is not None else ""
     return why, bool(why) and why != OVER_SHARE
-
-
-def may_have_run(call: Call) -> bool:
-    """Return whether the last attempt may have had an effect at its booker."""
-    return call.outcome not in NEVER_RAN
--- a/bitternbeam/core/table.py
+++ b/bitternbeam/core/table.py
@@ -28,6 +28,7 @@
 
 log = logging.getLogger(__name__)
 
+NEVER_RAN = (api.Outcome.TURNED_AWAY, api.Outcome.NO_CONNECTION, api.Outcome.NOT_SENT)
 IN_DOUBT = (api.Outcome.NO_ANSWER, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 
@@ -47,6 +48,7 @@
     current_attempt: Attempt | None = None  # in flight, or established
     booker: str = ""  # of the last attempt
     outcome: api.Outcome = api.Outcome.NOT_SENT  # of the last attempt
+    may_have_run: bool = False  # an attempt that has ended is not proved never to have run
     release_wait_until_us: int = 0  # no new attempt before then
     deadline: Deadline | None = None
 
@@ -64,6 +66,7 @@
         self.clock = clock
         self.limits = limits
         self.counters = counters
+        self.effects = {kind.name: kind.effect for kind in settings.classes}
         self.metrics = RequestCounts(tuple(kind.name for kind in settings.classes))
         self.calls: SlotTable[Call] = SlotTable(limits.calls)
         self.by_uid: dict[str, Call] = {}
@@ -96,9 +99,15 @@
             self.send_final_answer(call, api.Refuse(event.call))
 
     def send_final_answer(self, call: Call, action: api.Refuse | api.Fail, late: bool = False) -> None:
-        """Send the final answer; an attempt still in flight is cancelled first."""
+        """Send the final answer; an attempt still in flight is cancelled first.
+
+        A refusal promises that repeating the call is harmless; where that is not so, it becomes a failure.
+        """
         if call.state is not CallState.PENDING:
             return
+        if isinstance(action, api.Refuse) and not self.is_repeatable(call):
+            self.counters.add("answers.failed_as_may_have_run")
+            action = api.Fail(call.offer.uid)
         self.leave_pending(call, CallState.ENDED)
         self.trace("refused" if isinstance(action, api.Refuse) else "failed", call)
         self.cancel_attempt(call, api.Outcome.CALLED_OFF)
@@ -115,6 +124,14 @@
             call.front.send_failure(call.offer.ref, late)
         self.remove_if_finished(call)
 
+    def is_repeatable(self, call: Call) -> bool:
+        """Return whether another set-up does no harm: none has run yet, or the class may run twice."""
+        if self.effects[call.offer.call_class] is api.Effect.REPEATABLE:
+            return True
+        attempt = call.current_attempt
+        in_flight = attempt is not None and not attempt.unsent
+        return not (in_flight or call.may_have_run)
+
     def trace(self, what: str, call: Call) -> None:
         """Log a step of a call at debug level; structured logs show the fields."""
         if log.isEnabledFor(logging.DEBUG):
@@ -133,7 +150,10 @@
         self.check_idle()
 
     def hang_up_all(self, leave_standing: bool = False) -> None:
-        """Refuse pending calls and release established ones on both sides, unless leave_standing."""
+        """Answer pending calls, and release established ones on both sides, unless leave_standing.
+
+        Pending calls are refused, but for those that may have run and may not run twice, which fail.
+        """
         for call in self.calls.values():
             if call.state is CallState.PENDING:
                 self.send_final_answer(call, api.Refuse(call.offer.uid))
@@ -173,6 +193,7 @@
         """Record the end of an attempt and report it to the decision module."""
         now_us = self.clock.now_us()
         call.current_attempt, call.outcome = None, end.outcome
+        call.may_have_run |= end.outcome not in NEVER_RAN
         if attempt.deadline:
             attempt.deadline.cancel()
         self.counters.add(f"outcomes.{end.outcome.name.lower()}")
--- a/tests/core_world.py
+++ b/tests/core_world.py
@@ -14,6 +14,7 @@
 from tests.world import MS, SECOND, SETTINGS
 
 READY = api.SwitchState.READY
+NEVER_RAN = (api.Outcome.TURNED_AWAY, api.Outcome.NO_CONNECTION, api.Outcome.NOT_SENT)
 IN_DOUBT = (api.Outcome.NO_ANSWER, api.Outcome.CUT, api.Outcome.CALLED_OFF)
 
 
@@ -26,6 +27,7 @@
     handle: int = 0
     client_left: bool = False  # the client has left
     answers: list[str] = field(default_factory=list)
+    may_have_run: bool = False  # a written attempt is not proved never to have run
     released: bool = False  # the established call was released
 
 
@@ -46,6 +48,7 @@
         self.hand = hand
         self.violations = broken
         self.requests: list[ClientRequest] = []
+        self.repeatable = True
 
     def _answer(self, ref: int, what: str) -> None:
         request = self.requests[ref]
@@ -58,7 +61,10 @@
         self._answer(ref, "stands")
 
     def send_refusal(self, ref: int, stay_away_us: int) -> None:
-        """Record a refusal."""
+        """Record a refusal, which promises that another request is harmless."""
+        self.violations.expect(
+            self.repeatable or not self.requests[ref].may_have_run, f"{self.requests[ref].uid}: may have run"
+        )
         self._answer(ref, "refused")
 
     def send_failure(self, ref: int, late: bool) -> None:
@@ -120,11 +126,16 @@
         unless(self.hand.time_us >= self.held.get(uid, 0), f"{uid}: its release is in doubt")
         ready = self.core.listing.states.get(attempt.booker) is READY
         unless(ready, f"{uid}: to one that is not ready")
-        unless(not self.clients.requests[attempt.offer.ref].client_left, f"{uid}: its client has left")
+        request = self.clients.requests[attempt.offer.ref]
+        unless(not request.client_left, f"{uid}: its client has left")
+        unless(self.clients.repeatable or not request.may_have_run, f"{uid}: runs twice")
+        request.may_have_run = True
         self.written.append(attempt)
 
     def end_attempt(self, attempt: Attempt, outcome: api.Outcome) -> None:
         """End an attempt in flight or an established call."""
+        if attempt in self.written and outcome in NEVER_RAN:
+            self.clients.requests[attempt.offer.ref].may_have_run = False  # it was the only one
         self._over(attempt, outcome)
         self.core.attempt_ended(attempt, AttemptEnd(outcome))
 
@@ -157,15 +168,18 @@
 class CoreWorld:
     """One core with its clients and servers."""
 
-    def __init__(self, module: DecisionModule, limits: Limits | None = None) -> None:
+    def __init__(
+        self, module: DecisionModule, limits: Limits | None = None, settings: api.Settings = SETTINGS
+    ) -> None:
         """List three servers."""
         self.hand = ManualClock()
         self.deadlines = self.hand.deadlines
         self.violations = Violations()
         self.clients, self.servers = Clients(self.hand, self.violations), Servers(self.hand, self.violations)
         self.counters = Counters()
-        self.core = CallControl(module, SETTINGS, self.deadlines, limits or Limits(), self.counters)
+        self.core = CallControl(module, settings, self.deadlines, limits or Limits(), self.counters)
         self.core.attach(self.servers)
+        self.clients.repeatable = all(one.effect is api.Effect.REPEATABLE for one in settings.classes)
         self.servers.core, self.servers.clients = self.core, self.clients
         self.names = ("s0", "s1", "s2")
         for name in self.names:
--- a/tests/test_core_stateful.py
+++ b/tests/test_core_stateful.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 from hypothesis import settings
@@ -22,6 +23,9 @@
 )  # fmt: skip
 SMALL_LIMITS = Limits(calls=6)
 PICK = st.integers(0, 7)
+UNREPEATABLE = replace(
+    SETTINGS, classes=tuple(replace(kind, effect=api.Effect.ONCE) for kind in SETTINGS.classes)
+)
 
 
 class FaultyModule:
@@ -56,13 +60,15 @@
 class Requests(RuleBasedStateMachine):
     """Requests decided by the program's own decision module."""
 
+    settings = SETTINGS
+
     def __init__(self) -> None:
         super().__init__()
-        self.world = CoreWorld(self.module(), SMALL_LIMITS)
+        self.world = CoreWorld(self.module(), SMALL_LIMITS, self.settings)
         self.servers = self.world.servers
 
     def module(self) -> DecisionModule:
-        return Controller(SETTINGS, 3)
+        return Controller(self.settings, 3)
 
     @rule(name=PICK, left_us=st.sampled_from((1, 30 * MS, 400 * MS, 1 * SECOND, 3 * SECOND)), cell=PICK)
     def ask(self, name: int, left_us: int, cell: int) -> None:
@@ -178,6 +184,18 @@
         assert not self.world.unanswered()
 
 
+class UnrepeatableRequests(RestartedRequests):
+    """Requests that must not run twice, in a process that shuts down while they wait."""
+
+    settings = UNREPEATABLE
+
+
+class RogueUnrepeatableRequests(RogueRequests):
+    """A faulty decision module, which refuses and repeats what may have run: the core must prevent it."""
+
+    settings = UNREPEATABLE
+
+
 STATE_MACHINE_SETTINGS = settings(
     max_examples=100, stateful_step_count=40, derandomize=True, deadline=None, database=None
 )
@@ -187,3 +205,7 @@
 TestRogueRequests.settings = STATE_MACHINE_SETTINGS
 TestRestartedRequests = RestartedRequests.TestCase
 TestRestartedRequests.settings = STATE_MACHINE_SETTINGS
+TestUnrepeatableRequests = UnrepeatableRequests.TestCase
+TestUnrepeatableRequests.settings = STATE_MACHINE_SETTINGS
+TestRogueUnrepeatableRequests = RogueUnrepeatableRequests.TestCase
+TestRogueUnrepeatableRequests.settings = STATE_MACHINE_SETTINGS
