Slow discovery's tests share the watch's fixture

Cause: the fixture that makes a follower stood in two test files. Change: the new file takes the older one's. Measured: the 11 tests of tests/test_discovery_slow.py pass.

--- a/tests/test_discovery_slow.py
+++ b/tests/test_discovery_slow.py
@@ -2,29 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-
 import pytest
 
 from bitternbeam.decision.interface import SwitchState
 from tests.loop import pause, until
 from tests.test_board import Board, WatchPeer, boards, event
-from tests.test_discovery_watch import KNOWN, LIMITS, SECOND, SILENT_US, Follower, send_unread
+from tests.test_discovery_watch import LIMITS, SECOND, SILENT_US, Follower, follower, send_unread
 
-__all__ = ["boards"]
+__all__ = ["boards", "follower"]
 STEP_US = 50_000
 TOLD_US = 7 * SECOND  # after which every event counts as received
 FIRST_LINE_US = LIMITS.discovery_first_line_us
 
 
-@pytest.fixture
-def follower(boards: list[Board]) -> Iterator[Follower]:
-    one = Follower(boards[0].address, KNOWN)
-    assert boards[0].requested() == [b"watch 3"]
-    yield one
-    one.close()
-
-
 class SlowNetwork:
     """Delivers late what the board writes: the events after the number asked for, then the number."""
 
