A spent retry budget fails a call whose last attempt may have run, as before

Change: the limit's answer is chosen by the last attempt again; send_final_answer then makes a failure of a refusal that would not be harmless, as for every other.

--- a/bitternbeam/core/control.py
+++ b/bitternbeam/core/control.py
@@ -14,7 +14,7 @@
 from bitternbeam.core.calls import Attempt, AttemptEnd, CallState, Offer
 from bitternbeam.core.ports import Clock, DecisionModule, Frontend
 from bitternbeam.core.sending import limit_reason, rejection_reason, staleness_reason
-from bitternbeam.core.table import Call, CallTable
+from bitternbeam.core.table import NEVER_RAN, Call, CallTable
 from bitternbeam.counters import Counters
 from bitternbeam.decision import interface as api
 from bitternbeam.limits import Limits
@@ -260,7 +260,7 @@
             why, final = limit_reason(call, switch, now_us, self.limiter)
             if final:
                 self.counters.add(f"sends.barred.{why}")
-                self.send_final_answer(call, api.Refuse(uid))
+                self.send_final_answer(call, api.Refuse(uid) if call.outcome in NEVER_RAN else api.Fail(uid))
                 self._report_not_sent(uid, call.attempts, switch, finished=True)
                 return
         number = call.attempts
