--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,4 @@
 if ! .venv/bin/python -c 'import immutables, msgspec, blake3' 2>/dev/null; then
     .venv/bin/pip -q install -r requirements-full.txt || echo "requirements-full.txt: not installed; case 10 can't run"
 fi
-.venv/bin/python -m py_compile review/rig_2.py review/{6,7,8,9,10}/case.py
+.venv/bin/python -m py_compile review/rig_2.py review/{6,7,8,9,10}/*.py
