--- a/review/rig_3.py
+++ b/review/rig_3.py
@@ -168,6 +168,7 @@
         self.launches: list[tuple[float, str]] = []
         self.stops: dict[str, float] = {}
         self.released: dict[str, float] = {}  # by this booker
+        self.longest = 0  # bytes of its longest message
 
     async def start(self) -> None:
         """Listen."""
@@ -190,15 +191,14 @@
     def send(self, writer: asyncio.StreamWriter, message: Line) -> None:
         """Write one message."""
         line = json.dumps(message, ensure_ascii=False, separators=(",", ":")).encode()
+        self.longest = max(self.longest, len(line))
         self.record(self.name, f"-> {shown(line)}")
         writer.write(line + b"\n")
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.record(self.name, f"connection {len(self.writers) + 1} opened")
         self.writers.append(writer)
-        writer.write(
-            json.dumps({"kind": "usage", "uid": "0" * 16, "meta": {"load": self.report()}}).encode() + b"\n"
-        )
+        writer.write(json.dumps({"kind": "usage", "uid": "0" * 16, "meta": {"load": self.report()}}).encode() + b"\n")
         for one in self.again:
             self.send(writer, {"kind": "stop", "uid": one, "meta": {}, "reason": 16})
         self.again = []
@@ -221,9 +221,7 @@
     def _take(self, message: Line, writer: asyncio.StreamWriter, line: bytes) -> None:
         kind, one = message.get("kind"), message.get("uid", "")
         if kind == "check":
-            writer.write(
-                json.dumps({"kind": "checked", "uid": one, "meta": {}, "reason": 1}).encode() + b"\n"
-            )
+            writer.write(json.dumps({"kind": "checked", "uid": one, "meta": {}, "reason": 1}).encode() + b"\n")
             return
         self.record(self.name, f"<- {shown(line.strip())}")
         if kind == "launch":
@@ -285,9 +283,7 @@
 class Link:
     """One connection through a proxy."""
 
-    def __init__(
-        self, proxy: Proxy, number: int, near: asyncio.StreamWriter, far: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, proxy: Proxy, number: int, near: asyncio.StreamWriter, far: asyncio.StreamWriter) -> None:
         self.proxy, self.number, self.near, self.far = proxy, number, near, far
         self.silent = False
         self.seen = b""
@@ -329,9 +325,11 @@
     """One connection of a caller."""
 
     numbers = itertools.count(1)
+    everyone: list[Client] = []  # kept: a reader whose connection nobody holds is destroyed with a complaint
 
     def __init__(self, record: Record, port: int) -> None:
         self.record, self.port = record, port
+        self.everyone.append(self)
         self.name = f"client {next(self.numbers)}"
         self.came: dict[str, list[tuple[float, Line]]] = {}
         self.closed = asyncio.Event()
@@ -350,7 +348,9 @@
             while line := await self.reader.readline():
                 self.record(self.name, f"<- {shown(line.strip())}")
                 message: Line = (
-                    json.loads(line) if len(line) <= self.most + 1 else {"kind": "unreadable", "uid": "", "size": len(line)}
+                    json.loads(line)
+                    if len(line) <= self.most + 1
+                    else {"kind": "unreadable", "uid": "", "size": len(line)}
                 )
                 self.came.setdefault(message.get("uid", ""), []).append((time.monotonic(), message))
                 self.news.set()
@@ -370,7 +370,12 @@
     def launch(self, cell: int = 0, left_ms: int = 3000, body: str = "offer", key: str = "") -> str:
         """Send a set-up and return its id."""
         one = uid()
-        meta = {"class": "slot-lookup", "left": str(left_ms), "key": key or uid(), "extras": f"dest:{cell};width:1;via:-1"}
+        meta = {
+            "class": "slot-lookup",
+            "left": str(left_ms),
+            "key": key or uid(),
+            "extras": f"dest:{cell};width:1;via:-1",
+        }
         self.send({"kind": "launch", "uid": one, "meta": meta, "body": body})
         return one
 
@@ -406,7 +411,9 @@
 class Controller:
     """One session controller, started with the deploy file's `run`."""
 
-    def __init__(self, record: Record, folder: Path, board_port: int, made: Line, known: list[Line], **more: Any) -> None:
+    def __init__(
+        self, record: Record, folder: Path, board_port: int, made: Line, known: list[Line], **more: Any
+    ) -> None:
         self.record, self.folder = record, folder
         self.port = free_port()
         self.environment = {**os.environ, "TMPDIR": str(folder), "GW_NAME": "n1", "PYTHONHASHSEED": "0"}
@@ -469,7 +476,8 @@
     def log(self) -> str:
         """Return the end of the newest log."""
         path = self.folder / f"log-{self.starts}.txt"
-        return path.read_text(errors="replace")[-1500:] if path.exists() else ""
+        text = path.read_text(errors="replace")[-1500:] if path.exists() else ""
+        return text.replace(str(self.folder), "FOLDER").replace(str(ROOT), "ROOT")
 
 
 def full_python() -> str:
@@ -510,7 +518,7 @@
         record("case", f"couldn't run: {error}")
         code = NOT_RUN
     except Exception:
-        record("case", "couldn't run: " + traceback.format_exc())
+        record("case", "couldn't run: " + traceback.format_exc().replace(str(ROOT), "ROOT"))
         code = NOT_RUN
     verdict = {HELD: "the rule held", BROKEN: "the rule was broken", NOT_RUN: "the case couldn't run"}[code]
     record("case", f"verdict: {verdict} (exit {code})")
--- a/review/rig_3_control.py
+++ b/review/rig_3_control.py
@@ -106,7 +106,13 @@
             if index == len(parts) - 1 and last_at:
                 await writer.drain()
                 await asyncio.sleep(max(0.0, last_at - time.monotonic()))
-            header = {"type": "chunk", "nonce": nonce, "index": index, "size": len(part), "digest": blake3(part).hexdigest()}
+            header = {
+                "type": "chunk",
+                "nonce": nonce,
+                "index": index,
+                "size": len(part),
+                "digest": blake3(part).hexdigest(),
+            }
             writer.write(json.dumps(header).encode() + b"\n" + part)
             await writer.drain()
         self.record("control", f"-> the last chunk of 1.{document.number}")
--- a/review/rig_3_sip.py
+++ b/review/rig_3_sip.py
@@ -166,7 +166,14 @@
         via = get(own, "via")
         if status < 300:
             via = re.sub("branch=[^;]+", f"branch=z9hG4bK{secrets.token_hex(6)}", via)
-        ack = [("Via", via), ("From", get(own, "from")), ("To", get(headers, "to")), ("Call-ID", call), ("CSeq", "1 ACK"), ("Max-Forwards", "70")]
+        ack = [
+            ("Via", via),
+            ("From", get(own, "from")),
+            ("To", get(headers, "to")),
+            ("Call-ID", call),
+            ("CSeq", "1 ACK"),
+            ("Max-Forwards", "70"),
+        ]
         self.transport.sendto(write(f"ACK {uri} SIP/2.0", ack), addr)
 
 
