--- a/review/rig_3_control.py
+++ b/review/rig_control.py
@@ -11,7 +11,7 @@
 import time
 from typing import Any
 
-import rig_3 as rig
+import rig_platform as rig
 from blake3 import blake3
 
 CHUNK = 8 * 1024
--- a/review/rig_3.py
+++ b/review/rig_platform.py
@@ -16,6 +16,7 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
 import tempfile
 import time
@@ -426,7 +427,6 @@
         }  # fmt: skip
         self.process: asyncio.subprocess.Process | None = None
         self.starts = 0
-        self.python = ""  # another interpreter than the one of `run`
         self.arguments = ""  # behind `run`
 
     async def start(self, pass_fds: tuple[int, ...] = (), known: list[Line] | None = None) -> None:
@@ -437,8 +437,6 @@
         path = self.folder / f"config-{self.starts}.json"
         path.write_text(json.dumps(self.config))
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        if self.python:
-            run = run.replace(".venv/bin/python", self.python)
         run = f"{run} {self.arguments}"
         environment = {**self.environment, "GW_CONFIG": str(path), "GW_LISTEN": f"127.0.0.1:{self.port}"}
         log = (self.folder / f"log-{self.starts}.txt").open("wb")
@@ -480,12 +478,11 @@
         return text.replace(str(self.folder), "FOLDER").replace(str(ROOT), "ROOT")
 
 
-def full_python() -> str:
-    """Return the interpreter with requirements-full.txt, which SIP and Consul need; build-3.sh makes it."""
-    path = ROOT / "review/env-3/.venv/bin/python"
-    if not path.exists():
-        raise CannotRunError("no review/env-3/.venv: run review/build-3.sh")
-    return str(path)
+def need_full_requirements() -> None:
+    """Raise CannotRunError unless the build's environment has requirements-full.txt; build-2.sh puts it there."""
+    wanted = "import immutables, msgspec, blake3, lmdb"
+    if subprocess.run([ROOT / ".venv/bin/python", "-c", wanted], capture_output=True, check=False).returncode:
+        raise CannotRunError("requirements-full.txt is not installed in .venv: run review/build-2.sh")
 
 
 PROCESSES: list[asyncio.subprocess.Process] = []
--- a/review/rig_3_sip.py
+++ b/review/rig_sip.py
@@ -11,7 +11,7 @@
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
-import rig_3 as rig
+import rig_platform as rig
 
 Address = tuple[str, int]
 
