--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # TROUBLE=0: the same without the disruption.
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-exec .venv/bin/python -B "$here/discovery_down.py"
+exec .venv/bin/python -B "$here/lost_answer.py"
