A lost answer leaves its call at no two servers: what broke with a connection is released

Callers saw: a server answered a set-up, the answer was lost and its connection reset; 300 ms later the call stood at a second server as well, and the first one was never released.

Cause: ConnectionPool.connection_lost ended pending set-ups as cut and sent nothing for them. A close gives up only what is not answered; a standing call belongs to no connection, so the pause of 300 ms waited for no release.

Change: the release goes out on another open connection, and the attempt then ends as cut; with none open it ends when the next connection has carried the release, or when the next one is refused (the process has ended). Why this works: an attempt ends, and the 300 ms begin, only after its release was written.

The abstract methods of ConnectionPool stood twice, also in ConnectionOwner.

--- a/bitternbeam/net/platform/booker_connection.py
+++ b/bitternbeam/net/platform/booker_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from abc import abstractmethod
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -11,7 +12,8 @@
 
 from bitternbeam.core.calls import Attempt
 from bitternbeam.decision.interface import Report
-from bitternbeam.net.platform.json_lines import JsonLines, Message, message_uid
+from bitternbeam.net.platform.json_lines import CAUSE_NORMAL, JsonLines, Message, message_uid
+from bitternbeam.net.platform.unsent_releases import RecentReleases
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.reports import read_report
 
@@ -26,30 +28,37 @@
 
     context: UpstreamContext
 
+    @abstractmethod
     def connection_lost(self, connection: BookerConnection) -> None:
         """Remove a connection that has ended."""
         ...
 
+    @abstractmethod
     def data_received(self, connection: BookerConnection) -> None:
         """Note that data was received on a connection."""
         ...
 
+    @abstractmethod
     def call_accepted(self, connection: BookerConnection, message: Message) -> None:
         """Handle a booker's acceptance of a set-up."""
         ...
 
+    @abstractmethod
     def call_stopped(self, connection: BookerConnection, message: Message) -> None:
         """Handle a refusal of a set-up or the release of a call."""
         ...
 
+    @abstractmethod
     def load_reported(self, connection: BookerConnection, report: Report) -> None:
         """Handle an unsolicited load report."""
         ...
 
+    @abstractmethod
     def probe_answered(self, report: Report | None) -> None:
         """Handle the answer to a probe; the report is None if it could not be parsed."""
         ...
 
+    @abstractmethod
     def cancel(self, request: UpstreamRequest, unanswered: bool = False) -> None:
         """Cancel a set-up, or release a call."""
         ...
@@ -63,6 +72,7 @@
     owner: ConnectionOwner
     connection: BookerConnection | None = None  # None: waiting for a connection
     established: bool = False
+    release_unsent: bool = False  # its connection broke, and it ends once the booker was sent its release
 
 
 class BookerConnection(JsonLines):
@@ -74,6 +84,7 @@
         self.owner = owner
         self.pending: dict[str, UpstreamRequest] = {}  # sent here and not answered yet, oldest first
         self.last_received_us = context.deadlines.now_us()
+        self.recent_releases = RecentReleases(context.limits)
         self.has_received = False
         self.heartbeat_sent_us = 0
         self.bytes_since_half_close: int | None = None  # None: not half-closed
@@ -105,6 +116,16 @@
             super().drop(cause)
             self.owner.connection_lost(self)
 
+    def send_release(self, uid: str) -> None:
+        """Cancel a set-up, or release a call; a booker ignores an id that it does not know."""
+        self.recent_releases.add(uid, self.deadlines.now_us())
+        self.send({"kind": "stop", "uid": uid, "meta": {}, "reason": CAUSE_NORMAL})
+
+    def release_pending(self) -> None:
+        """Cancel the pending set-ups, whose answers may be on their way."""
+        for uid in self.pending:
+            self.send_release(uid)
+
     def send_heartbeat(self) -> None:
         """Send a heartbeat; a live booker answers it at once."""
         self.heartbeat_sent_us = self.deadlines.now_us()
@@ -124,6 +145,7 @@
             return
         self.bytes_since_half_close = 0
         self.counters.add(f"{self.name}.parted.{cause}")
+        self.release_pending()
         self.owner.connection_lost(self)
         self.transport.loseWriteConnection()
         self.deadlines.after(self.limits.booker_quarantine_us, lambda: self.drop(cause))
--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -95,6 +95,11 @@
 
     def set_up(self, attempt: Attempt) -> None:
         """Send a set-up, or queue it until a connection is open."""
+        if attempt.offer.uid in self.unsent_releases:
+            # The booker may still hold an earlier attempt of this call.
+            attempt.unsent = True
+            self.context.core.attempt_ended(attempt, AttemptEnd(Outcome.NO_CONNECTION))
+            return
         request = self.requests.add(attempt, self)
         self.context.inherited_calls.record_sent(attempt.offer.uid)
         if self.connections:
@@ -106,13 +111,15 @@
     def cancel(self, request: UpstreamRequest, unanswered: bool = False) -> None:
         """Cancel a set-up, or release a call."""
         self.requests.remove(request)
-        connection = request.connection or (
-            self.least_loaded() if request.established and self.connections else None
-        )
-        if connection is None or not connection.is_open:
+        if request.attempt.unsent:
             return
         uid, sent_us = request.attempt.offer.uid, request.attempt.decided_us
-        connection.send({"kind": "stop", "uid": uid, "meta": {}, "reason": CAUSE_NORMAL})
+        connection = request.connection
+        if connection is None or not connection.is_open:
+            self.unsent_releases.add(uid)
+            self.send_releases()
+            return
+        connection.send_release(uid)
         silent_us = self.context.deadlines.now_us() - self.context.limits.booker_skipped_answer_us
         if unanswered and connection.last_received_us < sent_us < silent_us and not connection.pending:
             # A connection that has gone silent looks idle, so it would be chosen for every new set-up.
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,11 +9,11 @@
 from twisted.python.failure import Failure
 
 from bitternbeam.core.calls import AttemptEnd
-from bitternbeam.decision.interface import Outcome, Report, SwitchState
+from bitternbeam.decision.interface import Outcome, SwitchState
 from bitternbeam.net.connect import connect
-from bitternbeam.net.platform.booker_connection import BookerConnection, UpstreamRequest
+from bitternbeam.net.platform.booker_connection import BookerConnection, ConnectionOwner, UpstreamRequest
 from bitternbeam.net.platform.descriptor_quota import NoDescriptorError
-from bitternbeam.net.platform.json_lines import CAUSE_NORMAL, Message
+from bitternbeam.net.platform.unsent_releases import UnsentReleases
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
 from bitternbeam.tables.deadlines import Deadline
@@ -31,11 +30,12 @@
     started_us: int
 
 
-class ConnectionPool(ABC):
+class ConnectionPool(ConnectionOwner):
     """The connections to one booker; a subclass handles the messages.
 
-    A broken connection fails every set-up that is pending on it. So each set-up gets a connection without
-    other pending ones, and a spare is opened in advance; past the connection limit they are shared.
+    A broken connection fails every set-up that is pending on it, once their releases are sent on another.
+    So each set-up gets a connection without other pending ones, and a spare is opened in advance; past the
+    connection limit they are shared.
     Connections stay open while the booker is listed, because unsolicited load reports come on them.
     """
 
@@ -46,6 +46,7 @@
         self.endpoint = endpoint
         self.requests = requests
         self.connections: list[BookerConnection] = []
+        self.unsent_releases = UnsentReleases(context.limits, context.counters)
         self.connecting = 0
         self.last_received_us = context.deadlines.now_us()
         self.early_losses = 0  # consecutive connections lost before anything was received on them
@@ -55,26 +56,6 @@
         self.reconnect_timer: Deadline | None = None
         self.closed = False
 
-    @abstractmethod
-    def call_accepted(self, connection: BookerConnection, message: Message) -> None:
-        """Handle a booker's acceptance of a set-up."""
-
-    @abstractmethod
-    def call_stopped(self, connection: BookerConnection, message: Message) -> None:
-        """Handle a refusal of a set-up or the release of a call."""
-
-    @abstractmethod
-    def load_reported(self, connection: BookerConnection, report: Report) -> None:
-        """Handle an unsolicited load report."""
-
-    @abstractmethod
-    def probe_answered(self, report: Report | None) -> None:
-        """Handle the answer to a probe; the report is None if it could not be parsed."""
-
-    @abstractmethod
-    def cancel(self, request: UpstreamRequest, unanswered: bool = False) -> None:
-        """Cancel a set-up, or release a call."""
-
     def data_received(self, connection: BookerConnection) -> None:
         """Note that data was received on a connection."""
         self.last_received_us, self.early_losses = connection.last_received_us, 0
@@ -103,8 +84,19 @@
         self.context.counters.add("booker.connections")
         self.last_received_us = self.context.deadlines.now_us()
         self.connections.append(connection)
+        self.send_releases()
         self.send_waiting()
 
+    def send_releases(self) -> None:
+        """Send the releases that wait for a connection, and end the attempts that waited for them."""
+        if not self.connections:
+            return
+        connection = self.least_loaded()
+        for uid in self.unsent_releases.take_all():
+            self.context.counters.add("booker.releases_repeated")
+            connection.send_release(uid)
+        self.requests.finish_released()
+
     def send_waiting(self) -> None:
         """Send the set-ups that waited for a connection."""
         for request in self.requests.waiting():
@@ -179,13 +171,22 @@
             self.requests.finish_waiting(Outcome.NO_CONNECTION, now_us - limits.booker_connect_us)
         if refused or silent:
             # No process listens, or the host is gone: its calls were cut.
-            self.requests.cut_all()
+            self._cut_all(process_ended=refused)
         # A draining booker accepts no new connection. Retries every half second by 200 restarted instances
         # made up four fifths of a day's connections, so the next try waits until it is listed as ready.
         drained = refused and self.endpoint.state is not SwitchState.READY
         if not self.closed and not self.retired and not drained:
             self._schedule_reconnect()
 
+    def _cut_all(self, process_ended: bool) -> None:
+        """End all attempts and calls; a host that is only unreachable keeps its calls until it is told."""
+        if process_ended:
+            self.unsent_releases.take_all()
+        else:
+            for request in self.requests.sent():
+                self.unsent_releases.add(request.attempt.offer.uid)
+        self.requests.cut_all()
+
     def _connect_without_descriptor(self) -> None:
         """Handle a connect that failed for lack of a local descriptor.
 
@@ -204,17 +205,16 @@
         self.reconnect_timer = self.context.deadlines.after(self.context.limits.booker_retry_us, self.connect)
 
     def connection_lost(self, connection: BookerConnection) -> None:
-        """Fail the pending set-ups of a lost connection; the reconnect shows whether its calls were cut."""
+        """Release what was pending on a lost connection; the reconnect shows whether its calls were cut."""
         if connection not in self.connections:
             return
         self.connections.remove(connection)
-        for request in self.requests.all():
-            if request.connection is connection:
-                if request.established:
-                    request.connection = None
-                else:
-                    # If the process died, the next connect is refused at once.
-                    self.requests.finish(request, AttemptEnd(Outcome.CUT, connection_broken=True))
+        self._keep_releases(connection)
+        for request in self.requests.sent_on(connection):
+            request.connection = None
+            request.release_unsent = not request.established
+        connection.pending.clear()
+        self.send_releases()
         self.early_losses += not connection.has_received
         if self.retired and not self.connections and not self.closed:
             self.requests.cut_all()
@@ -228,6 +228,19 @@
                 # Without a delay, a peer that accepts and resets would be reconnected to in a tight loop.
                 self._schedule_reconnect()
 
+    def _keep_releases(self, connection: BookerConnection) -> None:
+        """Keep the releases that a lost connection leaves in doubt.
+
+        The answer to a pending set-up may have been lost: its call is then established at the booker and
+        would go on beside the next attempt. Of the releases written lately some may be lost as well. An id
+        that has an attempt here again needs no release, which would cut the new attempt.
+        """
+        for uid in connection.recent_releases.uids(self.context.deadlines.now_us()):
+            if self.requests.get(uid) is None:
+                self.unsent_releases.add(uid)
+        for uid in connection.pending:
+            self.unsent_releases.add(uid)
+
     def check_liveness(self) -> None:
         """Check a booker that has sent nothing for long while it has calls.
 
@@ -269,8 +282,7 @@
         Releases may be on their way on it, and the booker does not repeat them after a reset from our side.
         """
         self.context.counters.add(f"booker.set_aside.{cause}")
-        for uid in connection.pending:
-            connection.send({"kind": "stop", "uid": uid, "meta": {}, "reason": CAUSE_NORMAL})
+        connection.release_pending()
         self.connection_lost(connection)
         self.context.deadlines.after(
             self.context.limits.booker_quarantine_us, lambda: connection.half_close(cause)
--- a/bitternbeam/net/platform/upstream_requests.py
+++ b/bitternbeam/net/platform/upstream_requests.py
@@ -37,7 +37,7 @@
         return [
             request
             for request in self.by_uid.values()
-            if request.connection is None and not request.established
+            if request.connection is None and not request.established and not request.release_unsent
         ]
 
     def send(self, connection: BookerConnection, request: UpstreamRequest) -> None:
@@ -79,6 +79,20 @@
             if since_us is None or request.attempt.decided_us <= since_us:
                 self.finish(request, AttemptEnd(outcome))
 
+    def sent(self) -> list[UpstreamRequest]:
+        """Return the attempts that were sent, those of established calls included."""
+        return [request for request in self.by_uid.values() if not request.attempt.unsent]
+
+    def sent_on(self, connection: BookerConnection) -> list[UpstreamRequest]:
+        """Return the attempts that were sent on a connection, those of established calls included."""
+        return [request for request in self.by_uid.values() if request.connection is connection]
+
+    def finish_released(self) -> None:
+        """End the attempts whose connection broke, now that the booker was sent their releases."""
+        for request in self.all():
+            if request.release_unsent:
+                self.finish(request, AttemptEnd(Outcome.CUT, connection_broken=True))
+
     def recheck_waiting(self) -> None:
         """End the waiting attempts that the rules or the booker list no longer allow."""
         for request in self.waiting():
@@ -95,7 +109,7 @@
         """End all attempts: waiting ones as not sent, the others as cut."""
         self.finish_waiting(Outcome.NOT_SENT)
         for request in self.all():
-            self.finish(request, AttemptEnd(Outcome.CUT))
+            self.finish(request, AttemptEnd(Outcome.CUT, connection_broken=request.release_unsent))
 
     def cut_sent_before(self, started_us: int) -> None:
         """Cut what was sent before the booker restarted: the process that held it has ended."""
--- a/tests/held_connects.py
+++ b/tests/held_connects.py
@@ -19,7 +19,7 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         """Hold every connect to a server from now on."""
         self.waiting: list[Callable[[], object]] = []
-        self.failing: list[Callable[[], object]] = []
+        self.failing: list[Callable[[Exception], object]] = []
         monkeypatch.setattr(connection_pool, "connect", self._held)
 
     def _held(
@@ -27,7 +27,7 @@
     ) -> Deferred[Any]:
         made: Deferred[Any] = Deferred()
         self.waiting.append(lambda: connect(reactor, host, port, timeout_us, build).chainDeferred(made))
-        self.failing.append(lambda: made.errback(TimeoutError("never came up")))
+        self.failing.append(made.errback)
         return made
 
     def wait_for(self, number: int = 1) -> None:
@@ -40,7 +40,7 @@
         for go in waiting:
             go()
 
-    def fail_first(self) -> None:
-        """Fail the oldest waiting connect with a time-out."""
+    def fail_first(self, error: Exception | None = None) -> None:
+        """Fail the oldest waiting connect with an error, by default a time-out."""
         self.waiting.pop(0)
-        self.failing.pop(0)()
+        self.failing.pop(0)(error or TimeoutError("never came up"))
