--- a/tests/loaded_process.py
+++ b/tests/loaded_process.py
@@ -10,7 +10,6 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 ROOT = Path(__file__).parents[1]
 MEMORY_LIMIT_KB = 192 * 1024
@@ -18,9 +17,11 @@
 SET_UP_META = {"class": "slot-lookup", "extras": "dest:0;width:1;via:-1"}
 
 
-def set_up_line(uid: str, left_ms: int = 3000, key: str = "n", body: str = "v=0\r\n", **more: Any) -> bytes:
-    """Return a set-up as a line; `more` are additional fields of its head."""
-    meta = SET_UP_META | {"left": str(left_ms), "key": key} | more
+def set_up_line(
+    uid: str, left_ms: int = 3000, body: str = "v=0\r\n", fields: dict[str, str] | None = None
+) -> bytes:
+    """Return a set-up as a line; `fields` are additional ones of its head."""
+    meta = SET_UP_META | {"left": str(left_ms), "key": "n"} | (fields or {})
     return json.dumps({"kind": "launch", "uid": uid, "meta": meta, "body": body}).encode() + b"\n"
 
 
--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -24,7 +24,7 @@
 
 def request_of_many_fields() -> bytes:
     """Return a request whose head has as many short fields as a message holds."""
-    line = set_up_line(new_id(), **{f"{number:x}": "" for number in range(1_400)})
+    line = set_up_line(new_id(), fields={f"{number:x}": "" for number in range(1_400)})
     assert LINE_BYTES * 0.9 < len(line) < LINE_BYTES
     return line
 
