One client at full speed leaves the event loop and the memory to the others

Cause: offer_queued emptied its queue before it returned and read its connection again inside that loop, so a client faster than the decisions kept it going. Each queued request held its parsed message, without a bound.

Change: 10 ms of offers a client and turn; requests are parsed when read and kept as offers; past the client's limit, or 16 MiB of all clients, they are refused then; nothing is offered behind more input than one look reads, and it is refused after 100 ms. Output over what Twisted writes in a turn is written at once: a client that read everything was taken for stalled. Why this works: the work of one turn and the bytes kept are bounded whatever is sent.

--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -23,6 +23,9 @@
     client_idle_us: int = 10 * SECOND  # after its last answer; clients close theirs after 4 s
     client_excess_connections: int = 32  # connections over the limit whose requests are refused
     client_requests: int = 2_000  # open on one connection
+    client_queue_bytes: int = 16 * 1024 * 1024  # requests of all clients that were read and not offered yet
+    client_offer_us: int = 10 * MS  # requests of one client offered in one turn of the event loop
+    client_unseen_us: int = 100 * MS  # a request behind more input than is read in this time is refused
     client_backlog: int = 256  # messages queued for a client that does not read
     client_unread_us: int = SECOND  # a client that takes nothing of more than these is disconnected
     client_recheck_us: int = 25 * MS  # a client last read longer ago is read again before a send
--- a/bitternbeam/net/platform/client_connection.py
+++ b/bitternbeam/net/platform/client_connection.py
@@ -2,55 +2,21 @@
 
 from __future__ import annotations
 
-from typing import Protocol
-
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from bitternbeam.counters import Counters
-from bitternbeam.limits import Limits
-from bitternbeam.net.platform.client_requests import ClientRequest, CloseCause, ConnectionState, QueuedRequest
+from bitternbeam.net.platform.client_owner import ConnectionOwner
+from bitternbeam.net.platform.client_requests import ClientRequest, CloseCause, ConnectionState
 from bitternbeam.net.platform.json_lines import CAUSE_REFUSED, JsonLines, Message, message_uid
 from bitternbeam.net.platform.request_parsing import is_request_id
+from bitternbeam.net.platform.request_queue import RequestQueue
 from bitternbeam.net.platform.unread_output import UnreadBacklog
-from bitternbeam.tables.deadlines import Deadline, Deadlines
+from bitternbeam.tables.deadlines import Deadline
 
 MAX_READS_PER_POLL = 4  # each reads up to 64 KiB, four times the longest message
 
 
-class ConnectionOwner(Protocol):
-    """The connection's view of the front."""
-
-    deadlines: Deadlines
-    limits: Limits
-    counters: Counters
-
-    def connection_opened(self, connection: ClientConnection) -> None:
-        """Register a new connection."""
-
-    def connection_closed(self, connection: ClientConnection) -> None:
-        """Forget a connection and withdraw its open requests."""
-
-    def transport_closed(self, connection: ClientConnection) -> None:
-        """Forget a connection whose descriptor is closed."""
-
-    def partial_message_changed(self, connection: ClientConnection) -> None:
-        """Note that a connection began or completed a partial message."""
-
-    def request_received(self, connection: ClientConnection, request: QueuedRequest) -> None:
-        """Handle a request."""
-
-    def stops_received(self, connection: ClientConnection, uids: list[str]) -> None:
-        """Handle a client's cancels and releases."""
-
-    def heartbeat_received(self, connection: ClientConnection) -> bool:
-        """Return whether a client's health check passes."""
-
-    def fail_open_requests(self, connection: ClientConnection) -> None:
-        """Withdraw a connection's open requests and answer each as failed."""
-
-
 class ClientConnection(JsonLines):
     """One client's connection.
 
@@ -59,14 +25,14 @@
     never sent on, however late a blocked event loop reads both.
     """
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner[ClientConnection]) -> None:
         super().__init__("client", owner.deadlines, owner.limits, owner.counters)
         self.owner = owner
         self.state = ConnectionState.OPEN
         self.refusal_cause = CloseCause.OVER_LIMIT
         self.handle = 0  # in the front's table; 0: without a slot
         self.peer_host = ""  # the client's IP address
-        self.queued_requests: dict[str, QueuedRequest] = {}  # by id, in the order of arrival
+        self.queued_requests = RequestQueue(owner.queue_quota, owner.limits.client_requests)
         self.pending_stops: list[str] = []  # ids of cancels and releases that were read and not applied yet
         self.open_requests: dict[str, ClientRequest] = {}  # offered and not answered, by id
         self.established_calls = 0  # requested on this connection; their releases are sent here
@@ -76,7 +42,8 @@
         self.partial_since_us = 0  # arrival of the first byte of the partial message
         self.idle_timer: Deadline | None = None
         self._read_us = self._polled_us = 0
-        self._polling = self._offering = False
+        self._line_bytes = 0  # of the message being handled
+        self._polling = self._offering = self._offer_scheduled = False
         self._received = self._message_ended = False  # reset before each read
         self._has_written = False
         self._unread_backlog = UnreadBacklog(
@@ -90,7 +57,7 @@
 
     @property
     def poll_due(self) -> bool:
-        """Whether the last poll is so old that the client may have left; poll again before an attempt."""
+        """Whether the last poll that read all input is so old that the client may have left since."""
         return self.deadlines.now_us() - self._polled_us >= self.limits.client_recheck_us
 
     # Transport events.
@@ -143,6 +110,7 @@
     def lineReceived(self, line: bytes) -> None:
         """Note that a message is complete."""
         self._message_ended = True
+        self._line_bytes = len(line)
         super().lineReceived(line)
 
     def message_received(self, message: Message) -> None:
@@ -163,11 +131,14 @@
             self.drop(CloseCause.NO_ID)  # an answer could not name the request
         elif uid in self.queued_requests:
             self.refuse_new_requests(CloseCause.REPEATED_ID)  # one refusal serves for both
+        elif not self.queued_requests.has_room(self._line_bytes, len(self.open_requests)):
+            self.owner.refuse_unoffered(self, uid)
         else:
-            self.queued_requests[uid] = QueuedRequest(uid, message, self.deadlines.earliest_arrival_us())
+            reader = self.owner.request_reader
+            self.queued_requests.add(reader.read(message, uid, self.peer_host, self._line_bytes))
 
     def _queue_stop(self, uid: str) -> None:
-        if self.queued_requests.pop(uid, None):
+        if self.queued_requests.remove(uid):
             self.counters.add("client.cancelled_unsent")
         else:
             self.pending_stops.append(uid)
@@ -182,7 +153,7 @@
 
         A blocked event loop runs its due timers before it reads a cancel, an EOF or a reset, while no
         attempt may start after the client has sent one. Requests found here are offered in the loop's next
-        turn.
+        turn. If more was unread than one poll reads, `poll_due` remains true.
         """
         if self._polling:
             return
@@ -193,35 +164,62 @@
                     return
                 self._received = False
                 end = self.transport.doRead()
+                self.write_backlog()
                 if isinstance(end, ConnectionDone):
                     self.readConnectionLost()
                 elif end is not None:
                     self.transport.abortConnection()
                     self._mark_closed()
                 if not self._received:
+                    self._polled_us = self.deadlines.now_us()
                     break
         finally:
             self._polling = False
         self._apply_stops()
-        self._polled_us = self.deadlines.now_us()
-        if self.queued_requests and not self._offering:
-            self.deadlines.after(0, self.offer_queued)
+        if not self._offering:
+            self._schedule_offers()
+
+    def _schedule_offers(self) -> None:
+        if self.queued_requests and not self._offer_scheduled:
+            self._offer_scheduled = True
+            self.deadlines.after(0, self._offer_scheduled_now)
+
+    def _offer_scheduled_now(self) -> None:
+        self._offer_scheduled = False
+        self.offer_queued()
 
     def offer_queued(self) -> None:
-        """Read all pending input, then offer the queued requests to the core."""
+        """Read all pending input, then offer queued requests to the core for `client_offer_us`.
+
+        The rest follows in the next turn of the event loop, after other clients' input.
+        """
         if self._offering or not self.queued_requests:
             return
         self._offering = True
         try:
             self.poll_input()
-            while self.queued_requests:
-                request = self.queued_requests.pop(next(iter(self.queued_requests)))
-                self.owner.request_received(self, request)
-                # Offering hundreds of requests takes a while, in which the last ones may be cancelled.
-                if self.queued_requests and self.poll_due:
-                    self.poll_input()
+            self._offer_until(self.deadlines.now_us() + self.limits.client_offer_us)
+            self._refuse_unseen()
         finally:
             self._offering = False
+        self._schedule_offers()
+
+    def _offer_until(self, end_us: int) -> None:
+        """Offer requests while it is certain that their client had not cancelled them a moment ago."""
+        while self.queued_requests and not self.poll_due:
+            self.owner.request_received(self, self.queued_requests.take_first())
+            if self.deadlines.now_us() >= end_us:
+                return
+            # Offering hundreds of requests takes a while, in which the last ones may be cancelled.
+            if self.queued_requests and self.poll_due:
+                self.poll_input()
+
+    def _refuse_unseen(self) -> None:
+        """Refuse what waits behind more input than is read in time: its cancel may be in there."""
+        if self.poll_due:
+            read_before_us = self.deadlines.now_us() - self.limits.client_unseen_us
+            for request in self.queued_requests.take_read_before(read_before_us):
+                self.owner.refuse_unoffered(self, request.uid)
 
     def send(self, message: Message) -> None:
         """Send a message; a client with too many unread messages is disconnected unless it reads them."""
@@ -263,10 +261,9 @@
             return
         self._apply_stops()
         self.owner.fail_open_requests(self)
-        queued, self.queued_requests = self.queued_requests, {}
-        for uid in queued:
+        for request in self.queued_requests.take_all():
             self.counters.add("client.refused_unsent")
-            self.send_stop(uid, CAUSE_REFUSED)
+            self.send_stop(request.uid, CAUSE_REFUSED)
         if not self.is_open:
             return  # disconnected for too many unread messages
         self.state = ConnectionState.CLOSING
@@ -295,5 +292,5 @@
         self.is_open = False
         self._unread_backlog.clear()
         self._apply_stops()
-        self.queued_requests.clear()
+        self.queued_requests.take_all()
         self.owner.connection_closed(self)
--- a/bitternbeam/net/platform/client_requests.py
+++ b/bitternbeam/net/platform/client_requests.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 from enum import Enum, StrEnum
 
-from bitternbeam.net.platform.json_lines import Message
+from bitternbeam.core.calls import Offer
 from bitternbeam.net.platform.recent_ids import RecentIds
+from bitternbeam.net.platform.request_parsing import InvalidRequestError
 from bitternbeam.tables.slots import SlotTable
 
 
@@ -41,8 +42,10 @@
     """A request that was read and not offered to the core yet."""
 
     uid: str
-    message: Message
+    content: Offer | InvalidRequestError  # the offer has no `ref` yet
+    size_bytes: int
     arrived_us: int  # earliest possible arrival; the client's time counts from here
+    read_us: int
 
 
 @dataclass(slots=True, eq=False)
--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import Factory
 
@@ -21,7 +23,9 @@
 from bitternbeam.net.platform.json_lines import CAUSE_FAILURE, CAUSE_NORMAL, CAUSE_REFUSED
 from bitternbeam.net.platform.recent_ids import RecentIds
 from bitternbeam.net.platform.releases import ReleaseSender
-from bitternbeam.net.platform.request_parsing import InvalidRequestError, parse_request
+from bitternbeam.net.platform.request_parsing import InvalidRequestError
+from bitternbeam.net.platform.request_queue import QueueQuota
+from bitternbeam.net.platform.request_reader import RequestReader
 from bitternbeam.tables.deadlines import Deadlines
 from bitternbeam.tables.slots import SlotTable
 
@@ -38,6 +42,8 @@
         self.counters = counters
         self.connections: SlotTable[ClientConnection] = SlotTable(limits.client_connections)
         self.recent_ids = RecentIds(core.longest_us + core.settings.release_wait_us, limits.calls)
+        self.request_reader = RequestReader(core, deadlines, limits)
+        self.queue_quota = QueueQuota(limits.client_queue_bytes)
         self.requests = RequestTable(limits.calls + 1, self.recent_ids)
         self.idle_connections = IdleConnections(deadlines, limits)
         self.over_limit_connections = OverLimitConnections(deadlines, limits)
@@ -110,8 +116,7 @@
         if (request := self.requests.find(uid)) is not None:
             self._duplicate_received(connection, request)
         elif connection.state is not ConnectionState.OPEN or self._request_limit_reached(connection):
-            self.counters.add("client.requests_over_the_limit")
-            connection.send_stop(uid, CAUSE_REFUSED, self.core.settings.max_stay_away_us)
+            self._refuse(connection, uid)
             connection.close_if_done()
         elif self.recent_ids.contains(uid, queued.arrived_us):
             self.counters.add("client.repeated_ids")
@@ -122,28 +127,27 @@
     def _request_limit_reached(self, connection: ClientConnection) -> bool:
         return self.requests.full or len(connection.open_requests) >= self.limits.client_requests
 
+    def _refuse(self, connection: ClientConnection, uid: str) -> None:
+        self.counters.add("client.requests_over_the_limit")
+        connection.send_stop(uid, CAUSE_REFUSED, self.core.settings.max_stay_away_us)
+
+    def refuse_unoffered(self, connection: ClientConnection, uid: str) -> None:
+        """Refuse a request for its connection's limits; the id of an open one is handled as a duplicate."""
+        if (request := self.requests.find(uid)) is not None:
+            self._duplicate_received(connection, request)
+        else:
+            self._refuse(connection, uid)
+
     def _offer(self, connection: ClientConnection, queued: QueuedRequest) -> None:
-        request = self.requests.put(queued.uid, connection.handle)
-        try:
-            offer = parse_request(
-                queued.message,
-                uid=queued.uid,
-                ref=request.ref,
-                client=connection.peer_host,
-                arrived_us=queued.arrived_us,
-                classes=self.core.classes,
-                longest_us=self.core.longest_us,
-                key_chars=self.limits.number_chars,
-            )
-        except InvalidRequestError as fault:
-            self._finish(request)
-            self.requests.remove(request)
-            self.counters.add(f"client.unusable_requests.{fault}")
+        if isinstance(queued.content, InvalidRequestError):
+            self.recent_ids.add(queued.uid, self.deadlines.now_us())
+            self.counters.add(f"client.unusable_requests.{queued.content}")
             connection.send_stop(queued.uid, CAUSE_FAILURE)
             return
+        request = self.requests.put(queued.uid, connection.handle)
         connection.open_requests[queued.uid] = request
         self.idle_connections.touch(connection)
-        request.call = self.core.offer(self, offer)
+        request.call = self.core.offer(self, replace(queued.content, ref=request.ref))
         if request.finished:  # its client left while it was being offered
             self.core.withdraw(request.call)
             self.core.release(request.call)
@@ -273,11 +277,19 @@
         # While a request is being offered, its client's input was read just before.
         if connection is not None and (request.call or connection.poll_due):
             connection.poll_input()
+            if connection.poll_due and not request.finished:
+                self._fail_unseen(connection, request)
         if request.finished:
             # Several requests may be withdrawn together; the core may not have been told of this one yet.
             self.core.withdraw(request.call)
         return not request.finished
 
+    def _fail_unseen(self, connection: ClientConnection, request: ClientRequest) -> None:
+        """Fail a request behind which more input is unread than a poll reads: its cancel may be in there."""
+        self.counters.add("client.failed_unseen")
+        self._withdraw([request])
+        connection.send_stop(request.uid, CAUSE_FAILURE)
+
     def inherited_call_released(self, uid: str, cause: int) -> None:
         """Send the release of a call that an earlier process set up."""
         if self.requests.find(uid) is None and not self.recent_ids.contains(uid, self.deadlines.now_us()):
--- a/bitternbeam/net/platform/json_lines.py
+++ b/bitternbeam/net/platform/json_lines.py
@@ -22,6 +22,8 @@
 CAUSE_REFUSED, CAUSE_BUSY, CAUSE_ERROR, CAUSE_CONGESTED, CAUSE_EXPIRED = 34, 17, 47, 42, 102
 CAUSE_NORMAL, CAUSE_FAILURE = 16, 41
 
+MAX_WRITES_PER_READ = 2  # each writes up to 128 KiB, and reads up to 64 KiB
+
 
 @implementer(IPushProducer, IHalfCloseableProtocol)
 class JsonLines(LineReceiver):
@@ -117,6 +119,15 @@
             self.transport.doRead()
         return self.bytes_read > before
 
+    def write_backlog(self) -> None:
+        """Write output now that is over the transport's buffer, of which the reactor writes a part each turn.
+
+        What answers the input of one turn may be more than that, and would look like unread output.
+        """
+        for _ in range(MAX_WRITES_PER_READ):
+            if self.is_open and self.transport.producerPaused:
+                self.transport.doWrite()
+
     def close_gracefully(self, cause: str, make_room: bool = True) -> None:
         """Close so that the peer can read all pending output (see lingering_close.py).
 
--- a/bitternbeam/net/platform/request_parsing.py
+++ b/bitternbeam/net/platform/request_parsing.py
@@ -25,7 +25,7 @@
 
 
 def parse_request(
-    message: Message, *, uid: str, ref: int, client: str, arrived_us: int, classes: Collection[str],
+    message: Message, *, uid: str, client: str, arrived_us: int, classes: Collection[str],
     longest_us: int, key_chars: int,
 ) -> Offer:  # fmt: skip
     """Return the request as an offer to the core; raises InvalidRequestError.
@@ -58,7 +58,6 @@
         received_us=arrived_us,
         number=key,
         body=body,
-        ref=ref,
         redial=extras.get("retry", 0) > 0,
         again=extras.get("again", 0) > 0,
         client=client,
