An id that ran is not run again at an upgrade's other process, nor displaced by others

Cause: each process knew its own ids alone. In one process, invalid requests took places in the bounded table of recent ids.

Change: with an inherited socket an id is claimed, before its request is offered, in files under $TMPDIR that both processes append to; the order of the records decides. Invalid requests, which never run, take no place; the table has a limit of its own, 60,000. Why this works: appends have one order that both read up to their own record, so at most one process finds itself first.

test_recent_ids_are_bounded_in_time_and_number set the size by `calls`; it sets it by `recent_ids` now and checks the same.

--- a/bitternbeam/descriptors.py
+++ b/bitternbeam/descriptors.py
@@ -10,7 +10,7 @@
 
 STANDARD_STREAMS = 3
 REACTOR = 4  # epoll, its wake-up pair, and the one that Twisted keeps in reserve
-FILES = 2  # open briefly: the configuration at a reload, the hand-over record
+FILES = 5  # the configuration at a reload, the hand-over record; three of claimed ids (`shared_ids.py`)
 LISTENING = 3  # the clients' socket and, if inherited, its duplicate; the admin address
 DISCOVERY = 6  # one open, one closing, one connecting, three silent (`Limits.discovery_silent_connections`)
 LIBRARIES = 4  # opened by libraries
--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -28,6 +28,7 @@
     client_unseen_us: int = 100 * MS  # a request behind more input than is read in this time is refused
     client_backlog: int = 256  # messages queued for a client that does not read
     client_unread_us: int = SECOND  # a client that takes nothing of more than these is disconnected
+    recent_ids: int = 60_000  # of finished requests and calls, which must not run again yet
     client_recheck_us: int = 25 * MS  # a client last read longer ago is read again before a send
     booker_connections: int = 12  # to one booker; further set-ups share them
     booker_fleet_connections: int = 96  # to one booker from the whole fleet, divided equally
--- a/bitternbeam/net/platform/front.py
+++ b/bitternbeam/net/platform/front.py
@@ -41,7 +41,7 @@
         self.limits = limits
         self.counters = counters
         self.connections: SlotTable[ClientConnection] = SlotTable(limits.client_connections)
-        self.recent_ids = RecentIds(core.longest_us + core.settings.release_wait_us, limits.calls)
+        self.recent_ids = RecentIds(core.longest_us + core.settings.release_wait_us, limits.recent_ids)
         self.request_reader = RequestReader(core, deadlines, limits)
         self.queue_quota = QueueQuota(limits.client_queue_bytes)
         self.requests = RequestTable(limits.calls + 1, self.recent_ids)
@@ -118,7 +118,7 @@
         elif connection.state is not ConnectionState.OPEN or self._request_limit_reached(connection):
             self._refuse(connection, uid)
             connection.close_if_done()
-        elif self.recent_ids.contains(uid, queued.arrived_us):
+        elif not self.recent_ids.claim(uid, queued.arrived_us):
             self.counters.add("client.repeated_ids")
             connection.send_stop(uid, CAUSE_FAILURE)
         else:
@@ -140,7 +140,6 @@
 
     def _offer(self, connection: ClientConnection, queued: QueuedRequest) -> None:
         if isinstance(queued.content, InvalidRequestError):
-            self.recent_ids.add(queued.uid, self.deadlines.now_us())
             self.counters.add(f"client.unusable_requests.{queued.content}")
             connection.send_stop(queued.uid, CAUSE_FAILURE)
             return
--- a/bitternbeam/wiring/handover.py
+++ b/bitternbeam/wiring/handover.py
@@ -14,6 +14,7 @@
 
 from bitternbeam import __version__
 from bitternbeam.decision.handover import StateMismatchError, digest, export_state, import_state
+from bitternbeam.net.platform.shared_ids import SharedIds
 from bitternbeam.wiring.parts import Common
 
 log = logging.getLogger("bitternbeam")
@@ -57,6 +58,11 @@
         self.writing = True
         self._write()
 
+    def shared_ids(self) -> SharedIds:
+        """Return the ids that this process shares with the one beside it."""
+        stem = self.path.with_suffix(".ids")
+        return SharedIds(stem, self.common.deadlines.now_us, self.common.counters)
+
     def stop(self) -> None:
         """Write no more: what follows is of a process that ends."""
         self.writing = False
--- a/bitternbeam/wiring/platform.py
+++ b/bitternbeam/wiring/platform.py
@@ -90,6 +90,7 @@
         if self.handover and config.inherited_fd is not None:
             self.handover.take()
             self.handover.keep()
+            self.front.recent_ids.shared_ids = self.handover.shared_ids()
             return adopt(reactor, config.inherited_fd, self.front, self._accept_bounds())
         return listen(reactor, config.host, config.port, self.front, self._accept_bounds())
 
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -278,7 +278,7 @@
 
 
 def test_recent_ids_are_bounded_in_time_and_number() -> None:
-    world = DownstreamWorld(Limits(calls=2))
+    world = DownstreamWorld(Limits(recent_ids=2))
     recent = world.front.recent_ids
     for number, uid in enumerate((ID, ID2, ID3)):
         recent.add(uid, number)
