--- a/tests/loaded_process.py
+++ b/tests/loaded_process.py
@@ -30,6 +30,14 @@
     return os.urandom(8).hex()
 
 
+def shared_socket() -> socket.socket:
+    """Return a listening socket as the platform holds it for both processes of an upgrade."""
+    shared = socket.socket()
+    shared.bind(("127.0.0.1", 0))
+    shared.listen(512)
+    return shared
+
+
 class LoadedProcess:
     """The daemon with the example's settings, and the processes it talks to."""
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -19,6 +19,7 @@
 from bitternbeam.limits import Limits
 from bitternbeam.net.admin import AdminWire
 from bitternbeam.net.connect import connect, listen
+from tests.loaded_process import shared_socket
 from tests.loop import parts, pause, reactor, until
 from tests.test_board import Board, boards, event
 from tests.test_daemon import configuration
@@ -350,9 +351,7 @@
     bookers = Bookers()
     path = tmp_path / "config.json"
     path.write_text(json.dumps(configuration(bookers.notice()) | {"board": boards[0].address}))
-    shared = socket.socket()
-    shared.bind(("127.0.0.1", 0))
-    shared.listen(512)
+    shared = shared_socket()
     load = Load(shared.getsockname()[1], bookers)
     old_admin, new_admin = free_port(), free_port()
     old = start(path, old_admin, fd=shared.fileno())
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -40,6 +40,14 @@
     return server
 
 
+def stand_on_the_only_connection(stage: Stage, connects: HeldConnects) -> Peer:
+    """Set a call up as above and let it stand."""
+    server = set_up_on_the_only_connection(stage, connects)
+    server.send("running", ID, body="x")
+    until(lambda: stage.client.kinds(ID) == [("running", None)])
+    return server
+
+
 # Guards against a call that stands at two servers after its answer was lost with the connection.
 
 
@@ -116,9 +124,7 @@
     stage: Stage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     connects = HeldConnects(monkeypatch)
-    server = set_up_on_the_only_connection(stage, connects)
-    server.send("running", ID, body="x")
-    until(lambda: stage.client.kinds(ID) == [("running", None)])
+    server = stand_on_the_only_connection(stage, connects)
     lose_answer(server)
     until(lambda: not stage.back.pools["s0"].connections)
     stage.client.send("stop", ID, reason=16)
@@ -158,9 +164,7 @@
     stage: Stage, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     connects = HeldConnects(monkeypatch)
-    server = set_up_on_the_only_connection(stage, connects)
-    server.send("running", ID, body="x")
-    until(lambda: stage.client.kinds(ID) == [("running", None)])
+    stand_on_the_only_connection(stage, connects)
     pool = stage.back.pools["s0"]
     pool.last_received_us -= stage.back.limits.booker_silent_us + 1
     connects.fail_first()
