What a queued request takes beside its message counts against the bytes of all clients

Cause: the 16 MiB for queued requests counted their messages alone; short ones take several times as much.

Change: 1 KiB more counts for each queued request, and a test of such bursts.

--- a/bitternbeam/net/platform/request_queue.py
+++ b/bitternbeam/net/platform/request_queue.py
@@ -4,6 +4,8 @@
 
 from bitternbeam.net.platform.client_requests import QueuedRequest
 
+REQUEST_OVERHEAD_BYTES = 1024  # of a queued request beside its message
+
 
 class QueueQuota:
     """The bytes that the queued requests of all clients may hold."""
@@ -29,11 +31,11 @@
     def has_room(self, size_bytes: int, open_requests: int) -> bool:
         """Return whether a request of this size fits beside those that are queued or open."""
         below_limit = len(self) + open_requests < self._max_requests
-        return below_limit and size_bytes <= self._quota.free_bytes
+        return below_limit and size_bytes + REQUEST_OVERHEAD_BYTES <= self._quota.free_bytes
 
     def add(self, request: QueuedRequest) -> None:
         """Append a request; its size counts until it leaves the queue."""
-        self._quota.free_bytes -= request.size_bytes
+        self._quota.free_bytes -= request.size_bytes + REQUEST_OVERHEAD_BYTES
         self._requests[request.uid] = request
 
     def remove(self, uid: str) -> bool:
@@ -41,7 +43,7 @@
         request = self._requests.pop(uid, None)
         if request is None:
             return False
-        self._quota.free_bytes += request.size_bytes
+        self._quota.free_bytes += request.size_bytes + REQUEST_OVERHEAD_BYTES
         return True
 
     def take_first(self) -> QueuedRequest:
--- a/tests/test_flooding_client.py
+++ b/tests/test_flooding_client.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import subprocess
 import sys
+import threading
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -11,11 +14,12 @@
 import pytest
 
 from standins.flood import KINDS
-from tests.loaded_process import MEMORY_LIMIT_KB, ROOT, LoadedProcess
+from tests.loaded_process import MEMORY_LIMIT_KB, ROOT, LoadedProcess, new_id, set_up_line
 
 FLOOD_S = 4.0
 AIM_S = 1.5  # the class's aim in example/config.json, within which an answer is worth most
 BETWEEN_S = 0.2
+BURST_CLIENTS, BURST_REQUESTS = 100, 2_000
 
 
 @pytest.fixture
@@ -45,3 +49,23 @@
     assert {answer for answer, _ in answers} == {"running"}
     assert max(seconds for _, seconds in answers) < AIM_S
     assert process.memory_peak_kb() < MEMORY_LIMIT_KB / 2
+
+
+def write_burst(client: socket.socket) -> None:
+    """Write many requests at once; a client that reads no answer may be disconnected."""
+    with contextlib.suppress(OSError):
+        client.sendall(b"".join(set_up_line(new_id(), left_ms=50) for _ in range(BURST_REQUESTS)))
+
+
+def test_bursts_of_many_clients_at_once_fill_no_memory(process: LoadedProcess) -> None:
+    # Guards the memory: what each client may have queued must be bounded for all of them together.
+    clients = [process.connect() for _ in range(BURST_CLIENTS)]
+    writers = [threading.Thread(target=write_burst, args=(client,)) for client in clients]
+    for writer in writers:
+        writer.start()
+    for writer in writers:
+        writer.join()
+    assert process.answer_s()[0] in ("running", "stop")
+    assert process.memory_peak_kb() < MEMORY_LIMIT_KB / 2
+    for client in clients:
+        client.close()
