Known red: a new server at an old address that is listed after the grace

Callers would see: calls that stand at a new server are told as over, where it is listed more than 2 s after the removal of the one whose address it has.

Cause: PlatformBack._remove_pool ends the calls of a removed name after booker_removal_grace_us, before the list tells whose they are.

--- a/tests/test_taken_address.py
+++ b/tests/test_taken_address.py
@@ -113,3 +113,16 @@
     stage.tell(("s0", GONE), ("s9", READY))
     old.send("stop", ID, reason=16)
     until(lambda: stage.client.kinds(ID) == [("running", None), ("stop", 16)])
+
+
+def test_calls_at_a_new_server_that_is_listed_after_the_grace_are_not_released_to_their_clients(
+    stage: Replaced,
+) -> None:
+    # Guards against a wrong release where the list is late and the new server came up seconds after the old one's end.
+    stage.replace()
+    stage.stand(ID2)
+    stage.tell(("s0", GONE))
+    pause(2 * GRACE_S)
+    stage.tell(("s9", READY))
+    pause(2 * GRACE_S)
+    assert stage.client.kinds(ID2) == [("running", None)]
