--- a/tests/test_taken_address.py
+++ b/tests/test_taken_address.py
@@ -118,7 +118,7 @@
 def test_calls_at_a_new_server_that_is_listed_after_the_grace_are_not_released_to_their_clients(
     stage: Replaced,
 ) -> None:
-    # Guards against a wrong release where the list is late and the new server came up seconds after the old one's end.
+    # Guards against a wrong release where the new server comes seconds after the old one, as does its word.
     stage.replace()
     stage.stand(ID2)
     stage.tell(("s0", GONE))
