Crossing answers: the two set-ups of a test are sent in one turn, on a connection each

Cause: the test sent it after the first had been seen to arrive, and the first gets no answer. The fault is the test's.

The set-ups are now delivered in one turn of the loop, on two connections that are open before, and the test says that they differ. What it checks of the answers is unchanged.

--- a/tests/test_crossing_answers.py
+++ b/tests/test_crossing_answers.py
@@ -35,6 +35,19 @@
     assert server.lost
 
 
+def set_up_apart(stage: Stage) -> tuple[Peer, Peer]:
+    """Send two set-ups in one turn, on a connection each: a server that leaves one waiting gets no second."""
+    pool = stage.back.pools["s0"]
+    pool.connect()
+    until(lambda: len(pool.connections) == 2)
+    deliver_request(stage, ID)
+    deliver_request(stage, ID2)
+    until(lambda: stage.peers(ID) and stage.peers(ID2))
+    (server,), (other,) = stage.peers(ID), stage.peers(ID2)
+    assert server is not other
+    return server, other
+
+
 @pytest.mark.parametrize("close", [close_both_ways, reset])
 def test_a_set_up_crossing_an_idle_close_is_retried_after_the_pause(
     stage: Stage, close: Callable[[Peer], None]
@@ -79,8 +92,7 @@
 
 
 def test_answers_after_a_refusal_or_on_a_wrong_connection_are_ignored(stage: Stage) -> None:
-    server = stage.set_up(ID)
-    other = stage.set_up(ID2)
+    server, other = set_up_apart(stage)
     other.send("running", ID, body="from elsewhere")
     other.send("check", "t", reason=0)
     until(lambda: other.kinds("t"))
