--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -44,7 +44,7 @@
     booker_probe_us: int = 250 * MS  # an unanswered probe is lost
     booker_report_repeat_us: int = 100 * MS  # an equal report of its lines within this time is a repeat
     booker_release_repeat_us: int = 5 * SECOND  # a release this young is repeated if its connection breaks
-    booker_removal_grace_us: int = 2 * SECOND  # after its removal from the list its calls have ended
+    booker_removal_grace_us: int = 2 * SECOND  # after a removal, calls on no live connection have ended
     discovery_connect_us: int = 500 * MS
     discovery_settle_us: int = 250 * MS  # at start, updates arrive within this time or there are none
     discovery_burst_us: int = 20 * MS  # events of one burst follow the first within this time
--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -45,7 +45,7 @@
         self._check_pools()
 
     def _check_pools(self) -> None:
-        for pool in list(self.pools.values()):
+        for pool in dict.fromkeys([*self.pools.values(), *self.retired]):
             pool.check_liveness()
         self.deadlines.after(self.limits.booker_retry_us, self._check_pools)
 
@@ -108,15 +108,20 @@
                     latest.take_over(former, latest.endpoint.started_us)
 
     def _drain_pool(self, pool: BookerPool) -> None:
-        """Keep a removed booker's connections for a while, so that releases of its calls still arrive."""
+        """Keep a removed booker's connections, so that releases of its calls still arrive."""
         pool.requests.finish_waiting(Outcome.NOT_SENT)
+        pool.cut_lost()
         if not pool.connections:
             pool.requests.cut_all()
             pool.close()
-        self.deadlines.after(self.limits.booker_removal_grace_us, lambda: self._remove_pool(pool))
+        self.deadlines.after(self.limits.booker_removal_grace_us, lambda: self._remove_if_ended(pool))
 
-    def _remove_pool(self, pool: BookerPool) -> None:
-        pool.requests.cut_all()
+    def _remove_if_ended(self, pool: BookerPool) -> None:
+        """Close a removed booker's pool once no process at its address holds any of its calls."""
+        pool.cut_ended()
+        if pool.requests.by_uid:
+            self.deadlines.after(self.limits.booker_retry_us, lambda: self._remove_if_ended(pool))
+            return
         pool.close()
         if pool in self.retired:
             self.retired.remove(pool)
--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -67,6 +67,26 @@
             self.unsent_releases.add(uid)
         self.send_releases()
 
+    def cut_lost(self) -> None:
+        """End what a removed booker was sent before all its connections broke: its process has ended."""
+        for request in self.requests.all():
+            if request.connection is None and request.attempt.decided_us < self.reopened_us:
+                self.requests.cut(request)
+
+    def cut_ended(self) -> None:
+        """End what no process holds that answers at a removed booker's address.
+
+        Calls on a connection that still answers stand: the list may tell of the removal of one process while
+        the next has its address, and of that one later.
+        """
+        self.cut_lost()
+        silent_before_us = self.context.deadlines.now_us() - self.context.limits.booker_silent_us
+        live = [one for one in self.connections if one.last_received_us >= silent_before_us]
+        for request in self.requests.all():
+            on_silent_connection = request.connection is not None and request.connection not in live
+            if on_silent_connection or not live:
+                self.requests.cut(request)
+
     def load_reported(self, connection: BookerConnection, report: Report) -> None:
         """Handle an unsolicited load report, from whichever connection it comes.
 
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -54,6 +54,7 @@
         self.unsent_releases = UnsentReleases(context.limits, context.counters)
         self.connecting = 0
         self.last_received_us = context.deadlines.now_us()
+        self.reopened_us = 0  # when a connection was made after all others were lost
         self.early_losses = 0  # consecutive connections lost before anything was received on them
         self.no_spare_until_us = 0  # a connect failed: open no spare before this time
         self.heartbeat_sent_us = 0  # the last heartbeat sent because the booker was quiet
@@ -88,6 +89,8 @@
             return
         self.context.counters.add("booker.connections")
         self.last_received_us = self.context.deadlines.now_us()
+        if not self.connections:
+            self.reopened_us = self.last_received_us
         self.connections.append(connection)
         self.send_releases()
         self.send_waiting()
--- a/bitternbeam/net/platform/upstream_requests.py
+++ b/bitternbeam/net/platform/upstream_requests.py
@@ -115,7 +115,11 @@
         """End all attempts: waiting ones as not sent, the others as cut."""
         self.finish_waiting(Outcome.NOT_SENT)
         for request in self.all():
-            self.finish(request, AttemptEnd(Outcome.CUT, connection_broken=request.release_unsent))
+            self.cut(request)
+
+    def cut(self, request: UpstreamRequest) -> None:
+        """End an attempt that was sent, or the call that it established, as cut."""
+        self.finish(request, AttemptEnd(Outcome.CUT, connection_broken=request.release_unsent))
 
     def cut_sent_before(self, started_us: int) -> None:
         """Cut what was sent before the booker restarted: the process that held it has ended."""
--- a/tests/test_taken_address.py
+++ b/tests/test_taken_address.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from dataclasses import replace
 
 import pytest
 
@@ -126,3 +127,55 @@
     stage.tell(("s9", READY))
     pause(2 * GRACE_S)
     assert stage.client.kinds(ID2) == [("running", None)]
+
+
+def test_after_the_grace_only_calls_that_the_new_process_holds_are_kept(stage: Replaced) -> None:
+    # Guards against releasing the new process's calls, and against keeping the old one's.
+    stage.stand(ID)
+    stage.replace()
+    server, pending = stage.stand(ID2), stage.set_up(ID3)
+    stage.tell(("s0", GONE))
+    until(lambda: stage.client.kinds(ID) == [("running", None), ("stop", 41)])
+    pause(2 * GRACE_S)
+    pending.send("running", ID3, body="x")
+    until(lambda: stage.client.kinds(ID3) == [("running", None)])
+    assert stage.client.kinds(ID2) == [("running", None)]
+    server.send("stop", ID2, reason=16)
+    pending.send("stop", ID3, reason=16)
+    for uid in (ID2, ID3):
+        until(lambda uid=uid: stage.client.kinds(uid) == [("running", None), ("stop", 16)])  # type: ignore[misc]
+    until(lambda: not stage.back.retired and all(one.lost for one in stage.bookers))
+
+
+def test_calls_of_a_process_that_has_ended_are_told_with_its_removal() -> None:
+    # Guards against an end told 9 s late: the list may be 7 s late, and 8 s are allowed.
+    stage = Replaced(replace(PATIENT, booker_removal_grace_us=3600_000_000))
+    stage.stand(ID)
+    stage.replace()
+    stage.stand(ID2)
+    stage.tell(("s0", GONE))
+    until(lambda: stage.client.kinds(ID) == [("running", None), ("stop", 41)])
+    assert stage.client.kinds(ID2) == [("running", None)]
+    stage.close()
+
+
+def test_calls_at_an_unlisted_process_that_dies_are_told(stage: Replaced) -> None:
+    stage.replace()
+    stage.stand(ID2)
+    stage.tell(("s0", GONE))
+    pause(2 * GRACE_S)
+    for server in stage.bookers:
+        server.transport.abortConnection()
+    until(lambda: stage.client.kinds(ID2) == [("running", None), ("stop", 41)])
+    until(lambda: not stage.back.retired)
+
+
+def test_calls_at_an_unlisted_process_that_falls_silent_are_told() -> None:
+    # Guards against calls kept for ever on a connection whose end was never heard.
+    stage = Replaced(replace(PATIENT, booker_silent_us=600_000))
+    stage.replace()
+    stage.stand(ID2)
+    stage.tell(("s0", GONE))
+    until(lambda: stage.client.kinds(ID2) == [("running", None), ("stop", 41)], seconds=8)
+    until(lambda: not stage.back.retired)
+    stage.close()
