Slow reader's test: kernel buffers of a set size, so that reading leaves the backlog pending

test_a_slow_reader_is_kept_while_it_reads failed now and then in its own precondition (`assert connection.transport.producerPaused`): the kernel had taken all output. The test writes 2.5 MB, lets 1.3 MB be read and expects the rest to be pending, yet the kernel's receive buffer grows by itself while the client reads (up to 32 MB here).

The precondition and the checks are unchanged.

--- a/tests/test_unread_output.py
+++ b/tests/test_unread_output.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Iterator
 
 import pytest
@@ -14,6 +15,7 @@
 BURST_MESSAGES = 5_000  # far over the transport's 64 KiB and over `client_backlog`
 CHECKS = 1_500  # sent at once; the kernel's buffers hold them
 MESSAGE_BYTES = len('{"kind":"stop","uid":"0000000000000000","meta":{},"reason":41}\n')
+KERNEL_BUFFER_BYTES = 256 * 1024  # asked for each end; a size that is set does not grow as the client reads
 MORE_MESSAGES = 4 * BURST_MESSAGES  # more than the kernel's buffers have to drain before it takes more
 
 
@@ -27,7 +29,10 @@
 def connect(world: DownstreamWorld) -> tuple[ClientConnection, int]:
     """Return the front's side of a new client's connection, with one open request on it."""
     client = world.connect_client()
-    return world.connection_of(client), world.send_request(client, ID)
+    connection = world.connection_of(client)
+    client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+    connection.transport.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+    return connection, world.send_request(client, ID)
 
 
 def write_burst(connection: ClientConnection, messages: int = BURST_MESSAGES) -> None:
