--- a/bitternbeam/fleet/limits/rounding.py
+++ b/bitternbeam/fleet/limits/rounding.py
@@ -19,6 +19,11 @@
     return max(0.0, total - safe)
 
 
+def total_cost(given: Mapping[str, int], safe_parts: Mapping[str, float]) -> float:
+    """Return what all members' totals take from the shared extras."""
+    return sum(extra_cost(given[name], safe_parts[name]) for name in given)
+
+
 class Rounding:
     """Rounds real parts to whole ones; keeps what each member is owed between calls."""
 
@@ -44,12 +49,10 @@
             for name in parts
         }
         given = {name: max(int(part + SEND_TOLERANCE), minimum[name]) for name, part in parts.items()}
-        left = budget * (1 + BUDGET_TOLERANCE) - sum(
-            extra_cost(given[name], safe_parts[name]) for name in given
-        )
-        while left < 0:
+        available = budget * (1 + BUDGET_TOLERANCE)
+        # Summed anew each time: a running difference keeps rounding errors, and may never reach 0.
+        while (left := available - total_cost(given, safe_parts)) < 0:
             name = max(given, key=lambda one: (given[one], one))
-            left += extra_cost(given[name], safe_parts[name]) - extra_cost(given[name] - 1, safe_parts[name])
             given[name] -= 1
         round_ups = int(sum(parts.values()) + SEND_TOLERANCE) - sum(given.values())
         for name in sorted(parts, key=lambda one: (-self._priority(one, parts[one], given[one]), one)):
--- a/tests/test_limits_window.py
+++ b/tests/test_limits_window.py
@@ -104,6 +104,14 @@
         assert one <= goals[name] + 1e-6 and (one == 0 or abs(safe + one - round(safe + one)) < 1e-6)
 
 
+@pytest.mark.parametrize("budget", [0.0, 1.3e-294, 1e-12])
+def test_rounding_ends_for_a_budget_near_zero(budget: float) -> None:
+    # Guards against an endless loop: what was left stayed at -8.9e-16 with nothing given any more.
+    parts = {"a": 19.436008383837095, "g": 38.338601471990174}
+    safes, asks = dict.fromkeys(parts, 2.0913713833350234), dict.fromkeys(parts, True)
+    assert Rounding().round_parts(parts, asks, safes, budget) == {"a": 2, "g": 2}
+
+
 def test_insufficient_whole_parts_rotate_among_members() -> None:
     rounding, names = Rounding(), [f"m{number}" for number in range(40)]
     parts, safes = dict.fromkeys(names, 0.25), dict.fromkeys(names, 0.0125)
