A slot told in the last committed millisecond is not moved by the next plan

Slots are told in whole ms, rounded down: one at 25,000.9 is told as 25,000 and counts as committed up to 25,000, while the plan after it was laid out anew from 25,000.0 on, four times as wide in the trace.

replan_slots now freezes the whole of the last committed millisecond.

--- a/bitternbeam/fleet/returns/slots.py
+++ b/bitternbeam/fleet/returns/slots.py
@@ -26,6 +26,7 @@
 CHECK_IN_SHARE = 0.9  # of the longest wait: interval of a client's check-ins
 HASH_RANGE = 1 << 64
 HASH_WORDS = Struct(">4Q")
+SLOT_UNIT_MS = 1  # slots are told in whole ms, rounded down
 MIN_CLASS_CLIENTS = 1.0  # a class without known clients is planned for one
 
 Knot = tuple[float, float]
@@ -133,17 +134,18 @@
     most_ms: float,
 ) -> SlotPlan:
     """Return the plan with the slots after `frozen_ms` planned again, not before `start_ms`."""
+    frozen_end_ms = frozen_ms + SLOT_UNIT_MS
     counts = tuple(max(MIN_CLASS_CLIENTS, one) for one in clients)
-    left = [count * (1 - plan.elapsed_share(rank, frozen_ms)) for rank, count in enumerate(counts)]
+    left = [count * (1 - plan.elapsed_share(rank, frozen_end_ms)) for rank, count in enumerate(counts)]
     per_ms = max(per_ms, sum(left) / most_ms)
-    at_ms = max(frozen_ms, start_ms)
+    at_ms = max(frozen_end_ms, start_ms)
     curves = []
     for rank, curve in enumerate(plan.curves):
-        if curve[-1][1] <= frozen_ms:
+        if curve[-1][1] <= frozen_end_ms:
             curves.append(curve)
             continue
-        passed = plan.elapsed_share(rank, frozen_ms)
-        kept = [knot for knot in curve if knot[1] <= frozen_ms and knot[0] <= passed]
+        passed = plan.elapsed_share(rank, frozen_end_ms)
+        kept = [knot for knot in curve if knot[1] <= frozen_end_ms and knot[0] <= passed]
         if passed > 0:
             kept = [*(knot for knot in kept if knot[0] < passed), (passed, _time_of_quantile(curve, passed))]
         ends_ms = at_ms + left[rank] / per_ms
--- a/tests/test_returns.py
+++ b/tests/test_returns.py
@@ -10,7 +10,7 @@
 from itertools import pairwise
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from bitternbeam.fleet.returns.admission import ReconnectAdmission
@@ -204,6 +204,13 @@
 )  # fmt: skip
 
 
+SLOT_IN_THE_LAST_COMMITTED_MS = [
+    (1, 134, 0, 20.0, True), (1, 131, 0, 20.0, False), (4, 86, 0, 171.0, False), (2, 621, 0, 166.0, False),
+    (4, 222, 0, 84.65625, False), (1, 0, 0, 20.0, False),
+]  # fmt: skip
+
+
+@example(SLOT_IN_THE_LAST_COMMITTED_MS, 0)
 @given(MOVES, st.integers(-200, 200))
 @settings(derandomize=True, deadline=None, max_examples=60)
 def test_nobody_is_called_back_twice_however_the_plans_move(
