--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -41,6 +41,7 @@
     booker_connect_us: int = 500 * MS
     booker_retry_us: int = 500 * MS  # between failed connection attempts
     booker_silent_us: int = 2_500 * MS  # silence after which a new connection is tried
+    booker_renewal_us: int = 4 * SECOND  # between connections opened for releases lost on a silent one
     booker_probe_us: int = 250 * MS  # an unanswered probe is lost
     booker_report_repeat_us: int = 100 * MS  # an equal report of its lines within this time is a repeat
     booker_release_repeat_us: int = 5 * SECOND  # a release this young is repeated if its connection breaks
--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -14,6 +14,7 @@
 from bitternbeam.net.platform.connection_pool import BookerEndpoint
 from bitternbeam.net.platform.descriptor_quota import DescriptorQuota
 from bitternbeam.net.platform.inherited_calls import InheritedCalls
+from bitternbeam.net.platform.liveness import check_liveness
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
 from bitternbeam.tables.deadlines import Deadlines
@@ -46,7 +47,7 @@
 
     def _check_pools(self) -> None:
         for pool in dict.fromkeys([*self.pools.values(), *self.retired]):
-            pool.check_liveness()
+            check_liveness(pool)
         self.deadlines.after(self.limits.booker_retry_us, self._check_pools)
 
     def update_endpoints(self, endpoints: list[BookerEndpoint], complete: bool) -> None:
--- a/bitternbeam/net/platform/booker_connection.py
+++ b/bitternbeam/net/platform/booker_connection.py
@@ -72,6 +72,9 @@
     owner: ConnectionOwner
     connection: BookerConnection | None = None  # None: waiting for a connection
     established: bool = False
+    release_in_doubt: bool = (
+        False  # established on a connection that went silent, where its release may be lost
+    )
     release_unsent: bool = False  # its connection broke, and it ends once the booker was sent its release
 
 
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -1,4 +1,4 @@
-"""The connections to one booker: opening, reconnecting and liveness checks."""
+"""The connections to one booker: opening, reconnecting and closing."""
 
 from __future__ import annotations
 
@@ -249,33 +249,6 @@
         for uid in connection.pending:
             self.unsent_releases.add(uid)
 
-    def check_liveness(self) -> None:
-        """Check a booker that has sent nothing for long while it has calls.
-
-        After half of `booker_silent_us` a heartbeat is sent on one connection. A live booker answers it at
-        once, so silence for the whole time means a dead process, whatever happens to new connections.
-        """
-        now_us, silent_us = self.context.deadlines.now_us(), self.context.limits.booker_silent_us
-        if not self.requests.by_uid:
-            return
-        with_calls = {request.connection for request in self.requests.all() if request.established}
-        if now_us - self.last_received_us > silent_us:
-            self.connect()
-        elif (
-            self.connections
-            and now_us - self.last_received_us > silent_us // 2
-            and self.heartbeat_sent_us <= self.last_received_us
-        ):
-            self.heartbeat_sent_us = now_us
-            self.least_loaded().send_heartbeat()
-        # A connection whose reset was lost stays open and silent while others answer heartbeats. Its calls
-        # would be reported only 2 s after discovery's event, which may be 7 s late; a heartbeat provokes
-        # the reset.
-        for connection in self.connections:
-            quiet_us = now_us - max(connection.last_received_us, connection.heartbeat_sent_us)
-            if quiet_us > silent_us // 2 and connection in with_calls:
-                connection.send_heartbeat()
-
     def close(self) -> None:
         """Close all connections."""
         self.closed = True
@@ -290,6 +263,8 @@
         Releases may be on their way on it, and the booker does not repeat them after a reset from our side.
         """
         self.context.counters.add(f"booker.set_aside.{cause}")
+        for request in self.requests.sent_on(connection):
+            request.release_in_doubt = cause == "silent"
         connection.release_pending()
         self.connection_lost(connection)
         self.context.deadlines.after(
