Consul: an instance that comes back while it is registered is ready again

What callers saw: a server that left the health API's list and stayed in the catalogue drained; back in the list as it had been it got no call any more.

Cause: a draining instance was kept with its former state, so its return was no change and was not told. It is now kept as draining.

test_an_instance_that_comes_back_while_registered_is_ready_again fails before and passes now, with the file's other tests.

--- a/bitternbeam/net/consul.py
+++ b/bitternbeam/net/consul.py
@@ -8,7 +8,7 @@
 
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import quote
 
@@ -204,7 +204,7 @@
         entries += [SwitchEntry(one.name, one.cell, SwitchState.DRAINING, one.started_us) for one in drains]
         entries += [SwitchEntry(one.name, one.cell, SwitchState.GONE, one.started_us) for one in gone]
         servers = [SipServer(one.name, one.hop, one.cell) for one in changed]
-        self.held = now | {one.name: one for one in drains}
+        self.held = now | {one.name: replace(one, state=SwitchState.DRAINING) for one in drains}
         self.cells = {name: cell for name, cell in self.cells.items() if name in self.held}
         if self.first or entries:
             kind = ListKind.COMPLETE if self.first else ListKind.CHANGES
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -163,3 +163,13 @@
         until(lambda index=index: len(watch.told) == index - 6)  # type: ignore[misc]
         cells = [one.cell for one in watch.consul.held.values()]
         assert len(set(cells)) == 2 and set(watch.consul.cells) == set(watch.consul.held)
+
+
+def test_an_instance_that_comes_back_while_registered_is_ready_again(watch: Watch) -> None:
+    # Guards against a server that left the health API's list for a moment getting no call any more.
+    watch.agent.catalogue = ["a"]
+    watch.agent.change(8, instance("b"))
+    until(lambda: len(watch.told) == 2 and watch.agent.held)
+    watch.agent.change(9, instance("a", cell="3"), instance("b"))
+    until(lambda: len(watch.told) == 3)
+    assert watch.last() == {"a": READY}
