--- a/bitternbeam/limits.py
+++ b/bitternbeam/limits.py
@@ -70,6 +70,8 @@
     undelivered_releases: int = 1_000  # releases kept for clients without a connection
     consul_connect_us: int = 1 * SECOND
     consul_wait_us: int = 60 * SECOND  # of one blocking query
+    consul_catalogue_slow_us: int = 100 * MS  # without its answer, what left the health API's list drains
+    consul_catalogue_us: int = 2 * SECOND  # without its answer, it counts as gone
     consul_min_interval_us: int = 100 * MS  # between queries
     consul_retry_us: int = 500 * MS  # after the first error, then doubling
     consul_max_backoff_us: int = 30 * SECOND
--- a/bitternbeam/net/consul.py
+++ b/bitternbeam/net/consul.py
@@ -188,13 +188,31 @@
         if not missing:
             self._tell(now, set())
             return None
-        path = f"/v1/catalog/service/{quote(self.settings.service, safe='')}"
-        return self._get(path).addCallbacks(
+        return self._ask_catalogue(now).addCallbacks(
             lambda found: self._tell(now, registered(found[1])),
             # Without the catalogue's word it counts as gone: sending there may break a rule.
             lambda _failure: self._tell(now, set()),
         )
 
+    def _ask_catalogue(self, now: dict[str, Instance]) -> Deferred[Any]:
+        """Ask which instances are registered.
+
+        If the answer takes long, all that is missing from the health API's list drains until it comes:
+        nothing new may be sent there, and the list's other changes must not wait.
+        """
+        query = self._get(f"/v1/catalog/service/{quote(self.settings.service, safe='')}")
+        slow = self.deadlines.after(
+            self.limits.consul_catalogue_slow_us, lambda: self._tell(now, self.held.keys() - now.keys())
+        )
+        bound = self.deadlines.after(self.limits.consul_catalogue_us, query.cancel)
+
+        def stop_timers(result: Any) -> Any:
+            slow.cancel()
+            bound.cancel()
+            return result
+
+        return query.addBoth(stop_timers)
+
     def _tell(self, now: dict[str, Instance], registered: set[str]) -> None:
         """Tell what changed; the first list is told whole."""
         gone = [one for name, one in self.held.items() if name not in now and name not in registered]
--- a/tests/test_consul.py
+++ b/tests/test_consul.py
@@ -19,6 +19,7 @@
 
 LIMITS = replace(Limits(), consul_retry_us=20 * MS, consul_min_interval_us=5 * MS)
 READY, DRAINING, GONE = SwitchState.READY, SwitchState.DRAINING, SwitchState.GONE
+NOTICE_US = 250 * MS  # from a notice on nothing new is sent to a server that drains or has gone
 
 
 def instance(name: str, status: str = "passing", **meta: str) -> dict[str, Any]:
@@ -36,6 +37,7 @@
         self.index, self.health, self.catalogue = 7, [instance("a", cell="3")], list[str]()
         self.asked: list[tuple[str, int]] = []
         self.held: list[Any] = []
+        self.silent_catalogue = False
         self.broken = 0
 
     def render_GET(self, request: Any) -> Any:
@@ -45,6 +47,8 @@
             self.broken -= 1
             request.setResponseCode(500)
             return b"no leader"
+        if path.startswith("/v1/catalog") and self.silent_catalogue:
+            return NOT_DONE_YET
         if path.startswith("/v1/catalog"):
             request.setHeader("X-Consul-Index", "1")
             return json.dumps([{"ServiceID": name} for name in self.catalogue]).encode()
@@ -165,6 +169,21 @@
         assert len(set(cells)) == 2 and set(watch.consul.cells) == set(watch.consul.held)
 
 
+def test_a_health_answer_is_applied_though_the_catalogue_is_silent(watch: Watch) -> None:
+    # Guards against new calls at servers that the health API shows as gone and as critical.
+    watch.agent.change(8, instance("a", cell="3"), instance("b"))
+    until(lambda: len(watch.told) == 2 and watch.agent.held)
+    watch.agent.silent_catalogue = True
+    answered_us = watch.deadlines.now_us()
+    watch.agent.change(9, instance("b", "critical"))
+    until(lambda: len(watch.told) == 3)
+    assert watch.last() == {"a": DRAINING, "b": DRAINING}
+    assert watch.deadlines.now_us() - answered_us < NOTICE_US
+    until(lambda: len(watch.told) == 4)
+    assert watch.last() == {"a": GONE}
+    until(lambda: watch.agent.held)  # the questions go on
+
+
 def test_an_instance_that_comes_back_while_registered_is_ready_again(watch: Watch) -> None:
     # Guards against a server that left the health API's list for a moment getting no call any more.
     watch.agent.catalogue = ["a"]
