--- a/bitternbeam/configuration/delta.py
+++ b/bitternbeam/configuration/delta.py
@@ -38,7 +38,9 @@
         return cls(int(epoch), int(number))
 
 
-def difference(old: Mapping[Key, AnyEntry], new: Changes, changes: Changes) -> Iterator[None]:
+def difference(
+    old: Mapping[Key, AnyEntry], new: Mapping[Key, AnyEntry | None], changes: Changes
+) -> Iterator[None]:
     """Put into `changes` what turns old into new; pauses between slices."""
     for count, (key, entry) in enumerate(new.items()):
         if old.get(key) != entry:
--- a/bitternbeam/configuration/versions.py
+++ b/bitternbeam/configuration/versions.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass, field
-from typing import TypeAlias
+from typing import NamedTuple, TypeAlias
 
 from bitternbeam.configuration.compiling import Compilation
 from bitternbeam.configuration.delta import SLICE, Changes, Number, compose, difference, undo
@@ -56,6 +56,16 @@
         return dict(map(read_kept, self.kept.split(b"\n"))) if self.kept else self.undo
 
 
+class FromGood(NamedTuple):
+    """What leads from the last good version to another, and back."""
+
+    changes: Changes
+    undo: Changes
+    lines: Lines  # of `changes`, as the store keeps them
+    undo_lines: Lines
+    moved: frozenset[str]  # bookers that it brings, changes or takes away
+
+
 @dataclass(slots=True)
 class Candidate:
     """A version on its way to being applied."""
@@ -158,16 +168,41 @@
             first = error.faults[0] if error.faults else Fault("", "no reason")
             self.end(version, Stage.TURNED_DOWN, now_us, first.what, first.key)
             raise
-        back: Changes = {}
-        for _ in undo(self.good.entries, changes, back):
-            yield None
-        total = compose(self.changes, changes) if self.changes else changes
-        all_back = compose(back, self.undo) if self.undo else back
-        lines = yield from _lines_of(total)
-        undo_lines = yield from _lines_of(all_back)
-        moved = yield from _moved(total)
+        from_good = yield from self._from_good(base, changes, snapshot)
         version.step(Stage.CHECKED, now_us)
-        yield Candidate(version, snapshot, total, all_back, lines, undo_lines, moved, draft.backwards)
+        yield Candidate(version, snapshot, *from_good, draft.backwards)
+
+    def _from_good(
+        self, base: Snapshot, changes: Changes, snapshot: Snapshot
+    ) -> Generator[None, None, FromGood]:
+        """Return what leads from the last good version to a snapshot, which is `changes` from `base`.
+
+        The version on probation may be judged between two slices. What was counted up to then leads from
+        another version than the store's last good one, and is counted anew.
+        """
+        while True:
+            good, judged = self.good, self.version
+            total, back = yield from self._changes_from_good(base, changes, snapshot)
+            lines = yield from _lines_of(total)
+            undo_lines = yield from _lines_of(back)
+            moved = yield from _moved(total)
+            if self.good is good and self.version is judged:
+                return FromGood(total, back, lines, undo_lines, moved)
+
+    def _changes_from_good(
+        self, base: Snapshot, changes: Changes, snapshot: Snapshot
+    ) -> Generator[None, None, tuple[Changes, Changes]]:
+        """Return the changes from the last good version and back, in slices."""
+        good, back = self.good, dict[Key, AnyEntry | None]()
+        if self.running is base:
+            total = compose(self.changes, changes) if self.changes else changes
+            undone, undo_before = changes, self.undo
+        else:
+            total = {}
+            yield from difference(good.entries, snapshot.entries, total)
+            undone, undo_before = total, {}
+        yield from undo(good.entries, undone, back)
+        return total, compose(back, undo_before) if undo_before else back
 
     def apply(self, now_us: int, candidate: Candidate) -> None:
         """Offer calls under a candidate that is durable, where there is a store."""
