--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import pytest
 from twisted.internet.error import ConnectionRefusedError as RefusedError
@@ -120,24 +120,12 @@
     assert stage.client.kinds(ID) == [("running", None)]
 
 
-def test_a_call_released_while_no_connection_is_open_is_released_on_the_next(
-    stage: Stage, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("begin", [set_up_on_the_only_connection, stand_on_the_only_connection])
+def test_what_is_ended_while_no_connection_is_open_is_released_on_the_next(
+    stage: Stage, monkeypatch: pytest.MonkeyPatch, begin: Callable[[Stage, HeldConnects], Peer]
 ) -> None:
     connects = HeldConnects(monkeypatch)
-    server = stand_on_the_only_connection(stage, connects)
-    lose_answer(server)
-    until(lambda: not stage.back.pools["s0"].connections)
-    stage.client.send("stop", ID, reason=16)
-    until(lambda: not stage.core.calls)
-    connects.complete_all()
-    until(lambda: RELEASE in received(stage, ID))
-
-
-def test_an_attempt_given_up_while_no_connection_is_open_is_released_on_the_next(
-    stage: Stage, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    connects = HeldConnects(monkeypatch)
-    lose_answer(set_up_on_the_only_connection(stage, connects))
+    lose_answer(begin(stage, connects))
     until(lambda: not stage.back.pools["s0"].connections)
     stage.client.send("stop", ID, reason=16)
     until(lambda: not stage.core.calls)
