--- a/bitternbeam/net/platform/booker_connection.py
+++ b/bitternbeam/net/platform/booker_connection.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from twisted.internet.error import ConnectionAborted
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
@@ -72,11 +73,14 @@
     owner: ConnectionOwner
     connection: BookerConnection | None = None  # None: waiting for a connection
     established: bool = False
-    release_in_doubt: bool = (
-        False  # established on a connection that went silent, where its release may be lost
-    )
+    silent_connection: BookerConnection | None = None  # it was sent on this one, which went silent
     release_unsent: bool = False  # its connection broke, and it ends once the booker was sent its release
 
+    @property
+    def release_in_doubt(self) -> bool:
+        """Whether the booker may still send a release on a connection that carries nothing."""
+        return self.silent_connection is not None and not self.silent_connection.closed_by_peer
+
 
 class BookerConnection(JsonLines):
     """One connection to a booker."""
@@ -91,6 +95,7 @@
         self.has_received = False
         self.heartbeat_sent_us = 0
         self.bytes_since_half_close: int | None = None  # None: not half-closed
+        self.closed_by_peer = False
 
     @property
     def has_unsent_output(self) -> bool:
@@ -110,6 +115,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Release the descriptor and notify the pool."""
         super().connectionLost(reason)
+        self.closed_by_peer = not reason.check(ConnectionAborted)
         self.owner.context.descriptor_quota.release()
         self.owner.connection_lost(self)
 
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -263,8 +263,9 @@
         Releases may be on their way on it, and the booker does not repeat them after a reset from our side.
         """
         self.context.counters.add(f"booker.set_aside.{cause}")
-        for request in self.requests.sent_on(connection):
-            request.release_in_doubt = cause == "silent"
+        if cause == "silent":
+            for request in self.requests.sent_on(connection):
+                request.silent_connection = connection
         connection.release_pending()
         self.connection_lost(connection)
         self.context.deadlines.after(
--- a/tests/test_silent_connection.py
+++ b/tests/test_silent_connection.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterator
 from dataclasses import replace
-from typing import cast
 
 import pytest
 
@@ -18,14 +17,9 @@
 ENDED = [("running", None), ("stop", 16)]
 
 
-class Server(LivePeer):
-    """A server's connection that can go silent."""
-
-    silent = False
-
-    def dataReceived(self, data: bytes) -> None:
-        if not self.silent:
-            super().dataReceived(data)  # type: ignore[no-untyped-call]
+def go_silent(server: Peer) -> None:
+    """Leave a connection open, with nothing read on it, not even its end."""
+    server.transport.pauseProducing()
 
 
 class LiveStage(Stage):
@@ -33,12 +27,17 @@
 
     def __init__(self) -> None:
         super().__init__(LIMITS)
-        self.bookers[0].__class__ = Server
-        self.ports[0].factory.buildProtocol = lambda _addr: self.bookers.append(Server()) or self.bookers[-1]  # type: ignore[func-returns-value]
+        self.bookers[0].__class__ = LivePeer
+        self.ports[0].factory.buildProtocol = self.accept
         self.pool = self.back.pools["s0"]
         until(lambda: self.pool.connections)
 
-    def stand(self, *uids: str) -> list[Server]:
+    def accept(self, _address: object) -> Peer:
+        """Make the server's end of a new connection."""
+        self.bookers.append(LivePeer())
+        return self.bookers[-1]
+
+    def stand(self, *uids: str) -> list[Peer]:
         """Set calls up, each on a connection of its own with a spare beside it, and let them stand."""
         servers = []
         for uid in uids:
@@ -47,7 +46,7 @@
         for server, uid in zip(servers, uids, strict=True):
             server.send("running", uid, body="x")
         until(lambda: all(self.client.kinds(uid) == STANDS for uid in uids))
-        return cast(list[Server], servers)
+        return servers
 
     def wait_for_new_connection(self) -> Peer:
         """Wait until one more connection is opened."""
@@ -67,7 +66,7 @@
 def test_a_release_lost_on_a_silent_connection_comes_on_the_next(stage: LiveStage, renewals: int) -> None:
     # Guards against a release that never comes: a server repeats it only on the next connection opened.
     (server,) = stage.stand(ID)
-    server.silent = True
+    go_silent(server)
     until(lambda: stage.counters["booker.set_aside.silent"] == 1 and not stage.pool.connecting)
     in_use = len(stage.pool.connections)
     for _ in range(renewals):
@@ -79,7 +78,7 @@
 
 def test_renewals_end_with_the_calls_whose_releases_are_in_doubt(stage: LiveStage) -> None:
     server, other = stage.stand(ID, ID2)
-    server.silent = True
+    go_silent(server)
     stage.wait_for_new_connection()
     stage.client.send("stop", ID, reason=16)
     until(lambda: not stage.back.requests.keys() - {ID2})
@@ -89,6 +88,18 @@
     assert len(stage.bookers) == opened and stage.client.kinds(ID2) == STANDS and not other.lost
 
 
+def test_no_connection_is_renewed_once_the_server_has_closed_the_silent_one(stage: LiveStage) -> None:
+    # Guards against new connections as long as a call lasts, after a moment of silence.
+    (server,) = stage.stand(ID)
+    go_silent(server)
+    until(lambda: stage.counters["booker.set_aside.silent"] == 1 and not stage.pool.connecting)
+    server.transport.loseConnection()
+    pause(0.1)
+    opened = len(stage.bookers)
+    pause(3 * LIMITS.booker_renewal_us / 1e6)
+    assert len(stage.bookers) == opened and stage.client.kinds(ID) == STANDS
+
+
 def test_a_connection_that_answers_is_kept(stage: LiveStage) -> None:
     stage.stand(ID)
     pause(4 * LIMITS.booker_silent_us / 1e6)
