Calls of a removed server end with the connection that they were set up on

Cause: a removed server's pool went on opening connections to its address, and ended a call only if no connection of the pool was live, or if all had been lost before. Whatever answered at the address, even a connection that the kernel alone had accepted, counted as the process that holds the call.

Change: one rule, ConnectionPool.cut_unheld: from the removal on, a call stands for as long as its own connection is open and heard (heartbeats, booker_silent_us). It is looked at with the removal itself and every booker_retry_us. What is ended so is released on the pool's connections too, should its process live. None is opened for a removed server. A restart, and a new server at an old address, take what was sent on connections opened since the start told, in place of what was decided since; the connections of the process before a restart are set aside.

--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -72,7 +72,7 @@
                 self._retire(pool, removed)
                 pool = self.pools[endpoint.booker] = self._new_pool(endpoint)
             if endpoint.started_us > pool.endpoint.started_us:
-                pool.requests.cut_sent_before(endpoint.started_us)
+                pool.restart(endpoint.started_us)
             pool.endpoint = endpoint
             self.descriptor_quota.server_count = len(self.pools)
             if not pool.connections:
@@ -107,21 +107,21 @@
                 if latest and former.endpoint.started_us < latest.endpoint.started_us:
                     self._retire(former, removed)
                     latest.take_over(former, latest.endpoint.started_us)
+                if latest and former.retired:
+                    latest.take_over_releases(former)
 
     def _drain_pool(self, pool: BookerPool) -> None:
         """Keep a removed booker's connections, so that releases of its calls still arrive."""
         pool.requests.finish_waiting(Outcome.NOT_SENT)
-        pool.cut_lost()
-        if not pool.connections:
-            pool.requests.cut_all()
-            pool.close()
-        self.deadlines.after(self.limits.booker_removal_grace_us, lambda: self._remove_if_ended(pool))
-
-    def _remove_if_ended(self, pool: BookerPool) -> None:
-        """Close a removed booker's pool once no process at its address holds any of its calls."""
-        pool.cut_ended()
-        if pool.requests.by_uid:
-            self.deadlines.after(self.limits.booker_retry_us, lambda: self._remove_if_ended(pool))
+        close_at_us = self.deadlines.now_us() + self.limits.booker_removal_grace_us
+        self._remove_if_ended(pool, close_at_us)
+
+    def _remove_if_ended(self, pool: BookerPool, close_at_us: int) -> None:
+        """Close a removed server's pool after `close_at_us`, once no process holds any of its calls."""
+        pool.cut_unheld()
+        if pool.requests.by_uid or self.deadlines.now_us() < close_at_us:
+            check = lambda: self._remove_if_ended(pool, close_at_us)  # noqa: E731
+            self.deadlines.after(self.limits.booker_retry_us, check)
             return
         pool.close()
         if pool in self.retired:
--- a/bitternbeam/net/platform/booker_connection.py
+++ b/bitternbeam/net/platform/booker_connection.py
@@ -71,7 +71,8 @@
 
     attempt: Attempt
     owner: ConnectionOwner
-    connection: BookerConnection | None = None  # None: waiting for a connection
+    connection: BookerConnection | None = None  # None: waiting for a connection, or lost it
+    connection_opened_us: int = 0  # of the connection it was sent on, also after that was lost
     established: bool = False
     silent_connection: BookerConnection | None = None  # it was sent on this one, which went silent
     release_unsent: bool = False  # its connection broke, and it ends once the booker was sent its release
--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -59,33 +59,23 @@
                 connection.owner = self
                 self.connections.append(connection)
         for request in former.requests.sent():
-            since_start = request.connection is None and request.attempt.decided_us >= started_us
-            if since_start or request.connection in self.connections:
+            if request.connection_opened_us >= started_us:
                 self.context.counters.add("booker.attempts_taken_over")
                 former.requests.move(request, self.requests, self)
+
+    def take_over_releases(self, former: BookerPool) -> None:
+        """Take the releases that a removed server at this address can no longer be sent."""
         for uid in former.unsent_releases.take_all():
             self.unsent_releases.add(uid)
         self.send_releases()
 
-    def cut_lost(self) -> None:
-        """End what a removed booker was sent before all its connections broke: its process has ended."""
-        for request in self.requests.all():
-            if request.connection is None and request.attempt.decided_us < self.reopened_us:
-                self.requests.cut(request)
-
-    def cut_ended(self) -> None:
-        """End what no process holds that answers at a removed booker's address.
-
-        Calls on a connection that still answers stand: the list may tell of the removal of one process while
-        the next has its address, and of that one later.
-        """
-        self.cut_lost()
-        silent_before_us = self.context.deadlines.now_us() - self.context.limits.booker_silent_us
-        live = [one for one in self.connections if one.last_received_us >= silent_before_us]
-        for request in self.requests.all():
-            on_silent_connection = request.connection is not None and request.connection not in live
-            if on_silent_connection or not live:
-                self.requests.cut(request)
+    def restart(self, started_us: int) -> None:
+        """End what the server's process before its restart was sent, and leave that one's connections."""
+        for request in self.requests.sent_before_start(started_us):
+            self.cut_and_release(request)
+        for connection in self.connections[:]:
+            if connection.opened_us < started_us:
+                self.retire_connection(connection, "restarted")
 
     def load_reported(self, connection: BookerConnection, report: Report) -> None:
         """Handle an unsolicited load report, from whichever connection it comes.
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -54,7 +54,6 @@
         self.unsent_releases = UnsentReleases(context.limits, context.counters)
         self.connecting = 0
         self.last_received_us = context.deadlines.now_us()
-        self.reopened_us = 0  # when a connection was made after all others were lost
         self.early_losses = 0  # consecutive connections lost before anything was received on them
         self.no_spare_until_us = 0  # a connect failed: open no spare before this time
         self.heartbeat_sent_us = 0  # the last heartbeat sent because the booker was quiet
@@ -67,9 +66,12 @@
         self.last_received_us, self.early_losses = connection.last_received_us, 0
 
     def connect(self) -> None:
-        """Open a connection, unless `booker_connecting` are being opened."""
+        """Open a connection, unless `booker_connecting` are being opened.
+
+        None is opened for a removed server, whose address may be another's.
+        """
         limits = self.context.limits
-        if self.closed or self.connecting >= limits.booker_connecting:
+        if self.closed or self.retired or self.connecting >= limits.booker_connecting:
             return
         self.connecting += 1
         if self.reconnect_timer:
@@ -89,8 +91,6 @@
             return
         self.context.counters.add("booker.connections")
         self.last_received_us = self.context.deadlines.now_us()
-        if not self.connections:
-            self.reopened_us = self.last_received_us
         self.connections.append(connection)
         self.send_releases()
         self.send_waiting()
@@ -141,12 +141,7 @@
         )
         limit = self.context.descriptor_quota.per_server(self.context.limits.booker_connections)
         below_limit = len(self.connections) + self.connecting < limit
-        if (
-            not idle
-            and below_limit
-            and not self.retired
-            and self.context.deadlines.now_us() >= self.no_spare_until_us
-        ):
+        if not idle and below_limit and self.context.deadlines.now_us() >= self.no_spare_until_us:
             self.connect()
 
     def _connect_failed(self, failure: Failure) -> None:
@@ -224,17 +219,41 @@
         connection.pending.clear()
         self.send_releases()
         self.early_losses += not connection.has_received
-        if self.retired and not self.connections and not self.closed:
-            self.requests.cut_all()
+        if self.closed:
+            return
+        if self.retired:
+            self.cut_unheld()
+        # A release may have been lost with the connection, and its call would never end. The booker
+        # repeats it on the next new connection, so one is opened however many are left.
+        elif self.early_losses <= self.context.limits.booker_early_resets:
+            self.connect()
+        elif not self.connecting:
+            # Without a delay, a peer that accepts and resets would be reconnected to in a tight loop.
+            self._schedule_reconnect()
+
+    def cut_unheld(self) -> None:
+        """End what was sent to a removed server on a connection that was lost or has gone silent.
+
+        A call is held by the process that its connection leads to. Any other connection, and whatever
+        answers at the server's address, may be another process's.
+        """
+        silent_before_us = self.context.deadlines.now_us() - self.context.limits.booker_silent_us
+        for request in self.requests.sent():
+            own, sent_us = request.connection, request.attempt.decided_us
+            if own is None or max(own.last_received_us, sent_us) < silent_before_us:
+                self.cut_and_release(request)
+        if not self.connections:
             self.close()
-        elif not self.closed:
-            # A release may have been lost with the connection, and its call would never end. The booker
-            # repeats it on the next new connection, so one is opened however many are left.
-            if self.early_losses <= self.context.limits.booker_early_resets:
-                self.connect()
-            elif not self.connecting:
-                # Without a delay, a peer that accepts and resets would be reconnected to in a tight loop.
-                self._schedule_reconnect()
+
+    def cut_and_release(self, request: UpstreamRequest) -> None:
+        """End an attempt or its call as cut, and release it at each process that may still hold it.
+
+        A process that never had it ignores the release.
+        """
+        self.context.counters.add("booker.calls_unheld")
+        for connection in self.connections:
+            connection.send_release(request.attempt.offer.uid)
+        self.requests.cut(request)
 
     def _keep_releases(self, connection: BookerConnection) -> None:
         """Keep the releases that a lost connection leaves in doubt.
--- a/bitternbeam/net/platform/liveness.py
+++ b/bitternbeam/net/platform/liveness.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+from bitternbeam.net.platform.booker_connection import BookerConnection
 from bitternbeam.net.platform.connection_pool import ConnectionPool
 
 
 def check_liveness(pool: ConnectionPool) -> None:
-    """Check a booker that has calls here, and each connection on which one of them was set up."""
+    """Check a booker that has calls here, and each connection on which one of them was set up.
+
+    Of a removed server only the connections with calls matter: none is opened in their place.
+    """
     if not pool.requests.by_uid:
         return
+    if pool.retired:
+        for connection in _quiet_connections_with_calls(pool):
+            connection.send_heartbeat()
+        return
     _check_booker(pool)
     _check_connections_with_calls(pool)
     if any(request.release_in_doubt for request in pool.requests.all()):
@@ -37,18 +45,26 @@
     reported only with discovery's event, which may be 7 s late; a heartbeat provokes the reset. One that goes
     silent and stays open provokes nothing, and the releases that the booker sends on it are lost.
     """
-    now_us, silent_us = pool.context.deadlines.now_us(), pool.context.limits.booker_silent_us
-    with_calls = {request.connection for request in pool.requests.all() if request.established}
-    for connection in pool.connections[:]:
-        quiet_us = now_us - max(connection.last_received_us, connection.heartbeat_sent_us)
-        if connection not in with_calls or quiet_us <= silent_us // 2:
-            continue
+    for connection in _quiet_connections_with_calls(pool):
         if connection.last_received_us < connection.heartbeat_sent_us < pool.last_received_us:
             pool.retire_connection(connection, "silent")
         else:
             connection.send_heartbeat()
 
 
+def _quiet_connections_with_calls(pool: ConnectionPool) -> list[BookerConnection]:
+    """Return the connections with calls on which nothing came, nor a heartbeat went, for a while."""
+    now_us, silent_us = pool.context.deadlines.now_us(), pool.context.limits.booker_silent_us
+    quiet_before_us = now_us - silent_us // 2
+    with_calls = {request.connection for request in pool.requests.all() if request.established}
+    return [
+        connection
+        for connection in pool.connections
+        if connection in with_calls
+        and max(connection.last_received_us, connection.heartbeat_sent_us) < quiet_before_us
+    ]
+
+
 def _renew_connection(pool: ConnectionPool) -> None:
     """Open a connection if the newest is `booker_renewal_us` old: a booker repeats its releases on new ones.
 
--- a/bitternbeam/net/platform/upstream_requests.py
+++ b/bitternbeam/net/platform/upstream_requests.py
@@ -45,6 +45,7 @@
         attempt = request.attempt
         waited_us = self.context.deadlines.now_us() - attempt.decided_us
         request.connection = connection
+        request.connection_opened_us = connection.opened_us
         connection.pending[attempt.offer.uid] = request
         meta = {
             "class": attempt.offer.call_class,
@@ -121,8 +122,6 @@
         """End an attempt that was sent, or the call that it established, as cut."""
         self.finish(request, AttemptEnd(Outcome.CUT, connection_broken=request.release_unsent))
 
-    def cut_sent_before(self, started_us: int) -> None:
-        """Cut what was sent before the booker restarted: the process that held it has ended."""
-        for request in self.all():
-            if request.attempt.decided_us < started_us and not request.attempt.unsent:
-                self.finish(request, AttemptEnd(Outcome.CUT))
+    def sent_before_start(self, started_us: int) -> list[UpstreamRequest]:
+        """Return what was sent on connections that were opened before the server's process started."""
+        return [request for request in self.sent() if request.connection_opened_us < started_us]
--- a/tests/server_processes.py
+++ b/tests/server_processes.py
@@ -129,7 +129,7 @@
     def _send_line(self, line: str) -> None:
         for watch in self.board.peers:
             if watch.received_lines and watch.transport.connected:
-                watch.sendLine(line.encode())
+                watch.transport.write(line.encode() + b"\n")
 
     def told_over(self, uids: list[str]) -> bool:
         """Return whether the client was told that each of the calls is over."""
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -111,12 +111,13 @@
         form, site = self.form, self.site
         site.set_up(OLD, 3)
         site.advance_ms(500)
+        assert len(set(self.old.standing.values())) == 3
         site.set_up(OLD, 1)
         self.old_calls = list(site.clients.uids)
         site.advance_ms(500)
         assert set(self.old.standing) == set(self.old_calls)
         if form.broken:
-            self.old.connections[0].reset()
+            self.old.standing[self.old_calls[0]].reset()
             site.advance_ms(300)
         if form.drained:
             site.tell([(OLD, OLD_ADDRESS, DRAINING, 0)])
--- a/tests/virtual_site.py
+++ b/tests/virtual_site.py
@@ -19,6 +19,7 @@
 
 OLD_ADDRESS: Address = ("127.0.0.1", 7001)
 NEW_ADDRESS: Address = ("127.0.0.1", 7002)
+CONNECTIONS = 4  # open to s0 at the start, so that calls that are set up at once get one each
 OLD, NEW = "s0", "s9"
 LIMITS = Limits()
 
@@ -91,6 +92,10 @@
         self.old = self.start_process("old", OLD_ADDRESS)
         self.tell([(OLD, OLD_ADDRESS, api.SwitchState.READY, 0)])
         self.advance_ms(100)
+        for _ in range(CONNECTIONS - 1):
+            self.back.pools[OLD].connect()
+            self.advance_ms(100)
+        assert len(self.old.connections) == CONNECTIONS
 
     def start_process(self, name: str, address: Address) -> VirtualProcess:
         """Start a server process at an address."""
