Renewals leave the connections by which calls are known to be held

What callers saw: none; found with the property test. While one call's release was in doubt, each renewal replaced the oldest idle connection, with calls on it or not. Once the server is removed such a call has no connection of its own.

Change: a renewal takes the place of an idle connection without calls; while there is none it is opened beside the others, up to their limit. tests/test_removed_servers.py also holds that calls of a removed server that answers stand, that what is over for its client is released at a process that may hold it, and what a restart ends.

--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -134,14 +134,19 @@
             ),
         )
 
+    @property
+    def at_connection_limit(self) -> bool:
+        """Whether the open connections and those being opened have reached their limit."""
+        limit = self.context.descriptor_quota.per_server(self.context.limits.booker_connections)
+        return len(self.connections) + self.connecting >= limit
+
     def open_spare(self) -> None:
         """Open a connection in advance if none is idle and the limits allow it."""
         idle = any(
             not (connection.pending or connection.has_unsent_output) for connection in self.connections
         )
-        limit = self.context.descriptor_quota.per_server(self.context.limits.booker_connections)
-        below_limit = len(self.connections) + self.connecting < limit
-        if not idle and below_limit and self.context.deadlines.now_us() >= self.no_spare_until_us:
+        may_open = self.context.deadlines.now_us() >= self.no_spare_until_us
+        if not idle and may_open and not self.at_connection_limit:
             self.connect()
 
     def _connect_failed(self, failure: Failure) -> None:
--- a/bitternbeam/net/platform/liveness.py
+++ b/bitternbeam/net/platform/liveness.py
@@ -56,7 +56,7 @@
     """Return the connections with calls on which nothing came, nor a heartbeat went, for a while."""
     now_us, silent_us = pool.context.deadlines.now_us(), pool.context.limits.booker_silent_us
     quiet_before_us = now_us - silent_us // 2
-    with_calls = {request.connection for request in pool.requests.all() if request.established}
+    with_calls = _connections_with_calls(pool)
     return [
         connection
         for connection in pool.connections
@@ -65,18 +65,28 @@
     ]
 
 
+def _connections_with_calls(pool: ConnectionPool) -> set[BookerConnection]:
+    """Return the connections on which calls were set up that stand."""
+    established = [request for request in pool.requests.all() if request.established]
+    return {request.connection for request in established if request.connection is not None}
+
+
 def _renew_connection(pool: ConnectionPool) -> None:
     """Open a connection if the newest is `booker_renewal_us` old: a booker repeats its releases on new ones.
 
-    It takes the place of the oldest idle one, so that their number stays.
+    It takes the place of the oldest idle one without calls, so that their number stays. While there is none
+    it is opened beside the others up to their limit: a call's own connection shows whether its process lives.
     """
     renewed_us = max((connection.opened_us for connection in pool.connections), default=0)
     age_us = pool.context.deadlines.now_us() - renewed_us
     if pool.connecting or age_us < pool.context.limits.booker_renewal_us:
         return
+    with_calls = _connections_with_calls(pool)
     idle = [one for one in pool.connections if not (one.pending or one.has_unsent_output)]
-    if idle and len(pool.connections) > 1:
-        oldest = min(idle, key=lambda connection: connection.opened_us)
+    without_calls = [one for one in idle if one not in with_calls]
+    replaceable = without_calls or (idle if pool.at_connection_limit else [])
+    if replaceable and len(pool.connections) > 1:
+        oldest = min(replaceable, key=lambda connection: connection.opened_us)
         pool.retire_connection(oldest, "renewed")
     else:
         pool.connect()
--- /dev/null
+++ b/tests/test_removed_servers.py
@@ -0,0 +1,78 @@
+"""A removed server that lives on, and the process that has taken its address: who is sent which release."""
+
+from __future__ import annotations
+
+import pytest
+
+from bitternbeam.decision.interface import SwitchState
+from tests.virtual_site import LIMITS, NEW, NEW_ADDRESS, OLD, OLD_ADDRESS, VirtualSite
+
+READY, GONE = SwitchState.READY, SwitchState.GONE
+
+
+@pytest.fixture
+def site(monkeypatch: pytest.MonkeyPatch) -> VirtualSite:
+    return VirtualSite(monkeypatch)
+
+
+def remove_old(site: VirtualSite) -> None:
+    """Report the old server as removed, and a new one at its own address."""
+    site.start_process("new", NEW_ADDRESS)
+    site.tell([(OLD, OLD_ADDRESS, GONE, 0), (NEW, NEW_ADDRESS, READY, 0)])
+
+
+def test_calls_of_a_removed_server_that_answers_on_their_connections_stand(site: VirtualSite) -> None:
+    uids = site.set_up(OLD, 3)
+    site.advance_ms(500)
+    remove_old(site)
+    site.advance_ms(30_000)
+    assert set(site.old.standing) == set(uids) and not site.clients.over_us
+    for uid in uids:
+        site.old.end_call(uid)
+    site.advance_ms(1_000)
+    assert set(site.clients.over_us) == set(uids)
+
+
+# Guards against renewals that close the connection by which a call's process is known to live.
+def test_renewals_leave_the_connections_of_other_calls(site: VirtualSite) -> None:
+    silent, *others = site.set_up(OLD, 3)
+    site.advance_ms(500)
+    site.old.standing[silent].silent = True
+    site.advance_ms(5 * LIMITS.booker_renewal_us / 1_000)
+    assert site.counters["booker.set_aside.renewed"]
+    remove_old(site)
+    site.advance_ms(10_000)
+    assert set(site.clients.over_us) == {silent}
+    assert set(site.old.standing) == set(others) and site.old.released == {silent}
+
+
+# Guards against a call that stands at its process after its client was told that it is over.
+def test_a_call_that_is_over_for_its_client_is_released_at_a_process_that_may_hold_it(
+    site: VirtualSite,
+) -> None:
+    lost, kept = site.set_up(OLD, 2)
+    site.advance_ms(500)
+    site.old.standing[lost].reset()
+    site.advance_ms(500)
+    remove_old(site)
+    site.advance_ms(1_000)
+    assert set(site.clients.over_us) == {lost} and site.old.released == {lost}
+    assert set(site.old.standing) == {kept}
+
+
+# Guards against calls and set-ups at the process before a restart, on its connections that stay open.
+def test_a_restart_ends_what_was_sent_on_connections_of_the_process_before_it(site: VirtualSite) -> None:
+    before = site.set_up(OLD, 2)
+    site.advance_ms(500)
+    site.old.silence()
+    restarted = site.start_process("restarted", OLD_ADDRESS)
+    started_us = site.clock.time_us
+    site.back.pools[OLD].connect()
+    site.advance_ms(10)
+    after = site.set_up(OLD, 1)
+    site.advance_ms(100)
+    site.tell([(OLD, OLD_ADDRESS, READY, started_us)])
+    site.advance_ms(1_000)
+    assert set(site.clients.over_us) == set(before)
+    assert set(restarted.standing) == set(after)
+    assert {one.transport.process for one in site.back.pools[OLD].connections} == {restarted}
