A connection that came up is no sign that its server's process answers

While a process hangs its kernel accepts connections; each counted as word from the server, so its calls' own connections were set aside as silent beside it, renewals began, and one more connection stayed open every 2.5 s.

Change: the pool notes when something was received apart from when a connection came up (heard_us). Only the former shows that a silent connection is the fault, or answers a probe. Before another connection is tried, those that came up and carried nothing are dropped (counter booker.dropped.unheard).

--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -121,7 +121,7 @@
         self.context.counters.add("booker.probes_lost")
         # The probe may have been lost with its connection. If the booker has sent anything since, the
         # time-out says nothing about its response time.
-        if self.last_received_us < sent_us and not self.retired:
+        if self.heard_us < sent_us and not self.retired:
             self.context.core.probe_ended(self.name, self.context.limits.booker_probe_us, None)
 
     def set_up(self, attempt: Attempt) -> None:
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -53,7 +53,8 @@
         self.connections: list[BookerConnection] = []
         self.unsent_releases = UnsentReleases(context.limits, context.counters)
         self.connecting = 0
-        self.last_received_us = context.deadlines.now_us()
+        self.last_received_us = context.deadlines.now_us()  # or when a connection came up, if that is later
+        self.heard_us = 0  # when anything was received; a hung process's kernel accepts connections, too
         self.early_losses = 0  # consecutive connections lost before anything was received on them
         self.no_spare_until_us = 0  # a connect failed: open no spare before this time
         self.heartbeat_sent_us = 0  # the last heartbeat sent because the booker was quiet
@@ -63,7 +64,8 @@
 
     def data_received(self, connection: BookerConnection) -> None:
         """Note that data was received on a connection."""
-        self.last_received_us, self.early_losses = connection.last_received_us, 0
+        self.last_received_us = self.heard_us = connection.last_received_us
+        self.early_losses = 0
 
     def connect(self) -> None:
         """Open a connection, unless `booker_connecting` are being opened.
--- a/bitternbeam/net/platform/liveness.py
+++ b/bitternbeam/net/platform/liveness.py
@@ -32,12 +32,20 @@
     now_us, silent_us = pool.context.deadlines.now_us(), pool.context.limits.booker_silent_us
     quiet_us = now_us - pool.last_received_us
     if quiet_us > silent_us:
+        _drop_unheard_connections(pool)
         pool.connect()
     elif pool.connections and quiet_us > silent_us // 2 and pool.heartbeat_sent_us <= pool.last_received_us:
         pool.heartbeat_sent_us = now_us
         pool.least_loaded().send_heartbeat()
 
 
+def _drop_unheard_connections(pool: ConnectionPool) -> None:
+    """Drop the connections that came up and carried nothing: a hung process's kernel accepts any number."""
+    for connection in pool.connections[:]:
+        if not (connection.has_received or connection.pending):
+            connection.drop("unheard")
+
+
 def _check_connections_with_calls(pool: ConnectionPool) -> None:
     """Send heartbeats on quiet connections with calls, and replace one whose booker answers on others only.
 
@@ -46,7 +54,7 @@
     silent and stays open provokes nothing, and the releases that the booker sends on it are lost.
     """
     for connection in _quiet_connections_with_calls(pool):
-        if connection.last_received_us < connection.heartbeat_sent_us < pool.last_received_us:
+        if connection.last_received_us < connection.heartbeat_sent_us < pool.heard_us:
             pool.retire_connection(connection, "silent")
         else:
             connection.send_heartbeat()
--- a/tests/test_removed_servers.py
+++ b/tests/test_removed_servers.py
@@ -60,6 +60,22 @@
     assert set(site.old.standing) == {kept}
 
 
+# Guards against an accepted connection that is taken for a sign of life, and one more every 2.5 s.
+def test_a_hung_server_that_accepts_connections_does_not_use_them_up(site: VirtualSite) -> None:
+    uids = site.set_up(OLD, 3)
+    site.advance_ms(500)
+    site.old.answering = False
+    site.advance_ms(60_000)
+    in_use = len([one for one in site.old.connections if one.connected])
+    assert in_use <= 6, f"{in_use} connections are open"
+    assert not site.counters["booker.set_aside.silent"]
+    site.old.answering = True
+    for uid in uids:
+        site.old.end_call(uid)
+    site.advance_ms(5_000)
+    assert set(site.clients.over_us) == set(uids)
+
+
 # Guards against calls and set-ups at the process before a restart, on its connections that stay open.
 def test_a_restart_ends_what_was_sent_on_connections_of_the_process_before_it(site: VirtualSite) -> None:
     before = site.set_up(OLD, 2)
