A call ended for want of its connection is released through the address's new name

What callers saw: none; found with the property test. A removed server's call whose connection broke was told as over to its client, but where its process goes on under another name, whose start the list does not give, no release went there: the removed server's pool had no connection left, and the call stood at the process to its end.

Change: the pool of the server listed at a retired server's address is noted as its successor and sends such releases, and those that the retired pool still had, whatever the starts told. The rule stands in a module of its own, net/platform/unheld_calls.py.

--- a/bitternbeam/net/platform/back.py
+++ b/bitternbeam/net/platform/back.py
@@ -15,6 +15,7 @@
 from bitternbeam.net.platform.descriptor_quota import DescriptorQuota
 from bitternbeam.net.platform.inherited_calls import InheritedCalls
 from bitternbeam.net.platform.liveness import check_liveness
+from bitternbeam.net.platform.unheld_calls import cut_unheld
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
 from bitternbeam.tables.deadlines import Deadlines
@@ -108,7 +109,7 @@
                     self._retire(former, removed)
                     latest.take_over(former, latest.endpoint.started_us)
                 if latest and former.retired:
-                    latest.take_over_releases(former)
+                    latest.succeed(former)
 
     def _drain_pool(self, pool: BookerPool) -> None:
         """Keep a removed booker's connections, so that releases of its calls still arrive."""
@@ -118,7 +119,7 @@
 
     def _remove_if_ended(self, pool: BookerPool, close_at_us: int) -> None:
         """Close a removed server's pool after `close_at_us`, once no process holds any of its calls."""
-        pool.cut_unheld()
+        cut_unheld(pool)
         if pool.requests.by_uid or self.deadlines.now_us() < close_at_us:
             check = lambda: self._remove_if_ended(pool, close_at_us)  # noqa: E731
             self.deadlines.after(self.limits.booker_retry_us, check)
--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -16,6 +16,7 @@
     Message,
     message_uid,
 )
+from bitternbeam.net.platform.unheld_calls import cut_and_release
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
 from bitternbeam.net.reports import read_report
@@ -63,16 +64,16 @@
                 self.context.counters.add("booker.attempts_taken_over")
                 former.requests.move(request, self.requests, self)
 
-    def take_over_releases(self, former: BookerPool) -> None:
-        """Take the releases that a removed server at this address can no longer be sent."""
+    def succeed(self, former: BookerPool) -> None:
+        """Send the releases that a retired server at this address can no longer be sent, now and later."""
+        former.successor = self
         for uid in former.unsent_releases.take_all():
-            self.unsent_releases.add(uid)
-        self.send_releases()
+            self.send_or_keep_release(uid)
 
     def restart(self, started_us: int) -> None:
         """End what the server's process before its restart was sent, and leave that one's connections."""
         for request in self.requests.sent_before_start(started_us):
-            self.cut_and_release(request)
+            cut_and_release(self, request)
         for connection in self.connections[:]:
             if connection.opened_us < started_us:
                 self.retire_connection(connection, "restarted")
@@ -147,8 +148,7 @@
         uid, sent_us = request.attempt.offer.uid, request.attempt.decided_us
         connection = request.connection
         if connection is None or not connection.is_open:
-            self.unsent_releases.add(uid)
-            self.send_releases()
+            self.send_or_keep_release(uid)
             return
         connection.send_release(uid)
         silent_us = self.context.deadlines.now_us() - self.context.limits.booker_skipped_answer_us
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -13,6 +13,7 @@
 from bitternbeam.net.connect import connect
 from bitternbeam.net.platform.booker_connection import BookerConnection, ConnectionOwner, UpstreamRequest
 from bitternbeam.net.platform.descriptor_quota import NoDescriptorError
+from bitternbeam.net.platform.unheld_calls import cut_unheld
 from bitternbeam.net.platform.unsent_releases import UnsentReleases
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
@@ -59,6 +60,9 @@
         self.no_spare_until_us = 0  # a connect failed: open no spare before this time
         self.heartbeat_sent_us = 0  # the last heartbeat sent because the booker was quiet
         self.retired = False
+        self.successor: ConnectionPool | None = (
+            None  # of the server listed at the address since it was retired
+        )
         self.reconnect_timer: Deadline | None = None
         self.closed = False
 
@@ -97,6 +101,11 @@
         self.send_releases()
         self.send_waiting()
 
+    def send_or_keep_release(self, uid: str) -> None:
+        """Send a release on a connection, or on the next one that is opened."""
+        self.unsent_releases.add(uid)
+        self.send_releases()
+
     def send_releases(self) -> None:
         """Send the releases that wait for a connection, and end the attempts that waited for them."""
         if not self.connections:
@@ -229,7 +238,7 @@
         if self.closed:
             return
         if self.retired:
-            self.cut_unheld()
+            cut_unheld(self)
         # A release may have been lost with the connection, and its call would never end. The booker
         # repeats it on the next new connection, so one is opened however many are left.
         elif self.early_losses <= self.context.limits.booker_early_resets:
@@ -238,30 +247,6 @@
             # Without a delay, a peer that accepts and resets would be reconnected to in a tight loop.
             self._schedule_reconnect()
 
-    def cut_unheld(self) -> None:
-        """End what was sent to a removed server on a connection that was lost or has gone silent.
-
-        A call is held by the process that its connection leads to. Any other connection, and whatever
-        answers at the server's address, may be another process's.
-        """
-        silent_before_us = self.context.deadlines.now_us() - self.context.limits.booker_silent_us
-        for request in self.requests.sent():
-            own, sent_us = request.connection, request.attempt.decided_us
-            if own is None or max(own.last_received_us, sent_us) < silent_before_us:
-                self.cut_and_release(request)
-        if not self.connections:
-            self.close()
-
-    def cut_and_release(self, request: UpstreamRequest) -> None:
-        """End an attempt or its call as cut, and release it at each process that may still hold it.
-
-        A process that never had it ignores the release.
-        """
-        self.context.counters.add("booker.calls_unheld")
-        for connection in self.connections:
-            connection.send_release(request.attempt.offer.uid)
-        self.requests.cut(request)
-
     def _keep_releases(self, connection: BookerConnection) -> None:
         """Keep the releases that a lost connection leaves in doubt.
 
--- a/tests/test_removed_servers.py
+++ b/tests/test_removed_servers.py
@@ -60,6 +60,24 @@
     assert set(site.old.standing) == {kept}
 
 
+@pytest.mark.parametrize("told", ["before", "after"])
+def test_a_call_that_lost_its_connection_is_released_through_the_server_listed_at_the_address(
+    site: VirtualSite, told: str
+) -> None:
+    # The process at the address has a new name, whose start the list does not give.
+    (uid,) = site.set_up(OLD, 1)
+    site.advance_ms(500)
+    listed = [(OLD, OLD_ADDRESS, GONE, 0), (NEW, OLD_ADDRESS, READY, 0)]
+    if told == "before":
+        site.tell(listed)
+        site.advance_ms(500)
+    site.old.reset()
+    if told == "after":
+        site.tell(listed)
+    site.advance_ms(1_000)
+    assert set(site.clients.over_us) == {uid} and site.old.released == {uid}
+
+
 # Guards against an accepted connection that is taken for a sign of life, and one more every 2.5 s.
 def test_a_hung_server_that_accepts_connections_does_not_use_them_up(site: VirtualSite) -> None:
     uids = site.set_up(OLD, 3)
