--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -16,7 +16,7 @@
     Message,
     message_uid,
 )
-from bitternbeam.net.platform.unheld_calls import cut_and_release
+from bitternbeam.net.platform.unheld_calls import UnheldCause, cut_and_release
 from bitternbeam.net.platform.upstream_context import UpstreamContext
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
 from bitternbeam.net.reports import read_report
@@ -73,7 +73,7 @@
     def restart(self, started_us: int) -> None:
         """End what the server's process before its restart was sent, and leave that one's connections."""
         for request in self.requests.sent_before_start(started_us):
-            cut_and_release(self, request)
+            cut_and_release(self, request, UnheldCause.RESTARTED)
         for connection in self.connections[:]:
             if connection.opened_us < started_us:
                 self.retire_connection(connection, "restarted")
--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import Any
 
@@ -19,6 +20,8 @@
 from bitternbeam.net.platform.upstream_requests import UpstreamRequests
 from bitternbeam.tables.deadlines import Deadline
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True, slots=True)
 class BookerEndpoint:
@@ -274,8 +277,10 @@
         Releases may be on their way on it, and the booker does not repeat them after a reset from our side.
         """
         self.context.counters.add(f"booker.set_aside.{cause}")
+        requests = self.requests.sent_on(connection)
+        log.info("server %s: connection set aside: %s; calls: %d", self.endpoint.booker, cause, len(requests))
         if cause == "silent":
-            for request in self.requests.sent_on(connection):
+            for request in requests:
                 request.silent_connection = connection
         connection.release_pending()
         self.connection_lost(connection)
--- a/standins/holding_server.py
+++ b/standins/holding_server.py
@@ -6,8 +6,9 @@
 process can then listen at its address. SIGUSR2 ends each call: its release is sent on the connection of its
 set-up. SIGSTOP makes all its connections silent, and while it listens the kernel goes on accepting new ones.
 
-The log has one JSON line for each event: `at_us` (Unix time), `event` (`launch`, `release`: the controller's;
-`end`: the server's own) and `uid`.
+The log has one JSON line for each event: `at_us` (Unix time), `event` (`launch`; `release`: the controller
+released a call that stood; `ignored`: it released one that is not here; `end`: the server ended one) and
+`uid`.
 """
 
 from __future__ import annotations
@@ -75,8 +76,8 @@
             self.server.standing[uid] = self
             self.say("running", uid, body="v=0\r\n")
         elif kind == "stop":
-            self.server.note("release", uid)
-            self.server.standing.pop(uid, None)
+            held = self.server.standing.pop(uid, None) is not None
+            self.server.note("release" if held else "ignored", uid)
 
 
 def main(argv: list[str] | None = None) -> int:
--- a/tests/server_processes.py
+++ b/tests/server_processes.py
@@ -108,11 +108,16 @@
         until(lambda: made and self.board.requested())
         return made[0]
 
-    def set_up(self, number: int) -> list[str]:
-        """Set so many calls up at once; returns the ids of those that stand."""
+    def begin(self, number: int) -> list[str]:
+        """Ask for so many calls at once; returns their ids."""
         uids = [f"{next(self.ids):016x}" for _ in range(number)]
         for uid in uids:
             self.client.send("launch", uid, meta=SET_UP_META, body="v=0")
+        return uids
+
+    def set_up(self, number: int) -> list[str]:
+        """Ask for so many calls at once, and wait; returns the ids of those that stand."""
+        uids = self.begin(number)
         until(lambda: all(self.client.kinds(uid) for uid in uids))
         return [uid for uid in uids if self.client.kinds(uid)[0] == ("running", None)]
 
