--- a/tests/test_removed_servers.py
+++ b/tests/test_removed_servers.py
@@ -110,3 +110,20 @@
     assert set(site.clients.over_us) == set(before)
     assert set(restarted.standing) == set(after)
     assert {one.transport.process for one in site.back.pools[OLD].connections} == {restarted}
+
+
+# Guards against a call that goes to the new server because it was decided on since that one's start.
+def test_a_call_sent_to_the_former_process_after_the_start_of_the_new_one_ends_with_the_former(
+    site: VirtualSite,
+) -> None:
+    successor = site.start_process("successor", OLD_ADDRESS)
+    started_us = site.clock.time_us
+    site.advance_ms(100)
+    uids = site.set_up(OLD, 2)
+    site.advance_ms(100)
+    assert set(site.old.standing) == set(uids)
+    site.old.reset()
+    site.advance_ms(100)
+    site.tell([(OLD, OLD_ADDRESS, GONE, 0), (NEW, OLD_ADDRESS, READY, started_us)])
+    site.advance_ms(1_000)
+    assert set(site.clients.over_us) == set(uids) and not successor.standing
