One log line for a removed server's calls that end together, with eight ids at most

Cause: a server's death ends thousands of calls in one turn; a line for each would hold the event loop.

--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -72,8 +72,7 @@
 
     def restart(self, started_us: int) -> None:
         """End what the server's process before its restart was sent, and leave that one's connections."""
-        for request in self.requests.sent_before_start(started_us):
-            cut_and_release(self, request, UnheldCause.RESTARTED)
+        cut_and_release(self, self.requests.sent_before_start(started_us), UnheldCause.RESTARTED)
         for connection in self.connections[:]:
             if connection.opened_us < started_us:
                 self.retire_connection(connection, "restarted")
--- a/bitternbeam/net/platform/unheld_calls.py
+++ b/bitternbeam/net/platform/unheld_calls.py
@@ -19,6 +19,8 @@
 
 log = logging.getLogger(__name__)
 
+LOGGED_IDS = 8  # of one server's calls that end together
+
 
 class UnheldCause(Enum):
     """What became of the connection that an attempt was sent on; its value is a counter's last word."""
@@ -52,9 +54,12 @@
 def cut_unheld(pool: Pool) -> None:
     """End what a removed server was sent on a connection that was lost, or silent for `booker_silent_us`."""
     silent_before_us = pool.context.deadlines.now_us() - pool.context.limits.booker_silent_us
+    unheld: dict[UnheldCause, list[UpstreamRequest]] = {}
     for request in pool.requests.sent():
         if cause := _unheld_cause(request, silent_before_us):
-            cut_and_release(pool, request, cause)
+            unheld.setdefault(cause, []).append(request)
+    for cause, requests in unheld.items():
+        cut_and_release(pool, requests, cause)
     if not pool.connections:
         pool.close()
 
@@ -69,17 +74,31 @@
     return None
 
 
-def cut_and_release(pool: Pool, request: UpstreamRequest, cause: UnheldCause) -> None:
-    """End an attempt or its call as cut, and release it at each process that may hold it after all.
+def cut_and_release(pool: Pool, requests: list[UpstreamRequest], cause: UnheldCause) -> None:
+    """End attempts or their calls as cut, and release them at each process that may hold them after all.
 
-    That may be the process of the server that is listed at the address now. A process that never had the call
-    ignores the release.
+    That may be the process of the server that is listed at the address now. A process that never had a call
+    ignores its release.
     """
-    uid = request.attempt.offer.uid
-    pool.context.counters.add(f"booker.unheld.{cause.value}")
-    log.info("server %s: call %s ended, its connection: %s", request.attempt.booker, uid, cause.value)
+    if not requests:
+        return
+    pool.context.counters.add(f"booker.unheld.{cause.value}", len(requests))
+    uids = [request.attempt.offer.uid for request in requests]
+    log.info(
+        "server %s: %d calls ended, connection %s: %s%s",
+        requests[0].attempt.booker,
+        len(uids),
+        cause.value,
+        ", ".join(uids[:LOGGED_IDS]),
+        ", ..." if len(uids) > LOGGED_IDS else "",
+    )
+    for request in requests:
+        _release(pool, request.attempt.offer.uid)
+        pool.requests.cut(request)
+
+
+def _release(pool: Pool, uid: str) -> None:
     for connection in pool.connections:
         connection.send_release(uid)
     if pool.successor:
         pool.successor.send_or_keep_release(uid)
-    pool.requests.cut(request)
