A connection is silent only if several checks found a heartbeat unanswered

What callers saw: none; found by reading the rule again. Silence was measured by the clock alone. After a standstill of this process, or of the machine, of 2.5 s every connection looked silent, and calls of a removed server that still answered on their connections were ended.

Change: a connection is silent if nothing came for booker_silent_us and three liveness checks found a heartbeat unanswered; a standstill makes one check. A set-up that waits for its answer is left to its own time-out.

--- a/bitternbeam/net/platform/booker_connection.py
+++ b/bitternbeam/net/platform/booker_connection.py
@@ -20,6 +20,7 @@
 
 log = logging.getLogger(__name__)
 
+MIN_UNANSWERED_CHECKS = 3  # liveness checks are `booker_retry_us` apart
 HEARTBEAT_ID = "0" * 16  # the id in heartbeats, which belong to no call
 PROBE_ID = "0" * 15 + "1"  # the id in probes: checks with cause 1, whose answer carries a load report
 
@@ -95,6 +96,8 @@
         self.recent_releases = RecentReleases(context.limits)
         self.has_received = False
         self.heartbeat_sent_us = 0
+        self.heartbeat_pending = False  # nothing was received since one was sent
+        self.unanswered_checks = 0  # liveness checks that found it pending
         self.bytes_since_half_close: int | None = None  # None: not half-closed
         self.closed_by_peer = False
 
@@ -139,8 +142,22 @@
     def send_heartbeat(self) -> None:
         """Send a heartbeat; a live booker answers it at once."""
         self.heartbeat_sent_us = self.deadlines.now_us()
+        self.heartbeat_pending = True
         self.send({"kind": "check", "uid": HEARTBEAT_ID, "meta": {}, "reason": 0})
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing came for `booker_silent_us`, and several checks found a heartbeat unanswered.
+
+        Time alone proves nothing: this process, or the whole machine, may have stood still.
+        """
+        quiet_us = self.deadlines.now_us() - self.last_received_us
+        return self.unanswered_checks >= MIN_UNANSWERED_CHECKS and quiet_us > self.limits.booker_silent_us
+
+    def count_check(self) -> None:
+        """Count a liveness check that finds a heartbeat unanswered."""
+        self.unanswered_checks += self.heartbeat_pending
+
     def send_probe(self) -> None:
         """Ask for a load report."""
         self.send({"kind": "check", "uid": PROBE_ID, "meta": {}, "reason": 1})
@@ -172,6 +189,8 @@
                 self.drop("nonsense")  # more than releases would take
                 return
         self.last_received_us = self.deadlines.now_us()
+        self.heartbeat_pending = False
+        self.unanswered_checks = 0
         self.has_received = True
         self.owner.data_received(self)
         super().dataReceived(data)
--- a/bitternbeam/net/platform/liveness.py
+++ b/bitternbeam/net/platform/liveness.py
@@ -13,6 +13,8 @@
     """
     if not pool.requests.by_uid:
         return
+    for connection in pool.connections:
+        connection.count_check()
     if pool.retired:
         for connection in _quiet_connections_with_calls(pool):
             connection.send_heartbeat()
--- a/bitternbeam/net/platform/unheld_calls.py
+++ b/bitternbeam/net/platform/unheld_calls.py
@@ -53,10 +53,9 @@
 
 def cut_unheld(pool: Pool) -> None:
     """End what a removed server was sent on a connection that was lost, or silent for `booker_silent_us`."""
-    silent_before_us = pool.context.deadlines.now_us() - pool.context.limits.booker_silent_us
     unheld: dict[UnheldCause, list[UpstreamRequest]] = {}
     for request in pool.requests.sent():
-        if cause := _unheld_cause(request, silent_before_us):
+        if cause := _unheld_cause(request):
             unheld.setdefault(cause, []).append(request)
     for cause, requests in unheld.items():
         cut_and_release(pool, requests, cause)
@@ -64,14 +63,11 @@
         pool.close()
 
 
-def _unheld_cause(request: UpstreamRequest, silent_before_us: int) -> UnheldCause | None:
+def _unheld_cause(request: UpstreamRequest) -> UnheldCause | None:
     """Return why no process is known to hold an attempt; None if one is."""
-    own = request.connection
-    if own is None:
+    if request.connection is None:
         return UnheldCause.LOST
-    if max(own.last_received_us, request.attempt.decided_us) < silent_before_us:
-        return UnheldCause.SILENT
-    return None
+    return UnheldCause.SILENT if request.connection.is_silent else None
 
 
 def cut_and_release(pool: Pool, requests: list[UpstreamRequest], cause: UnheldCause) -> None:
--- a/tests/test_removed_servers.py
+++ b/tests/test_removed_servers.py
@@ -6,6 +6,7 @@
 
 from bitternbeam.decision.interface import SwitchState
 from tests.virtual_site import LIMITS, NEW, NEW_ADDRESS, OLD, OLD_ADDRESS, VirtualSite
+from tests.world import MS
 
 READY, GONE = SwitchState.READY, SwitchState.GONE
 
@@ -33,6 +34,17 @@
     assert set(site.clients.over_us) == set(uids)
 
 
+# Guards against taking a server for silent because this process stood still and asked nothing.
+def test_calls_of_a_removed_server_outlast_a_stall_of_the_controller(site: VirtualSite) -> None:
+    uids = site.set_up(OLD, 3)
+    site.advance_ms(500)
+    remove_old(site)
+    for stalled_ms in (2_600, 3_000, 5_000):
+        site.clock.time_us += stalled_ms * MS
+        site.advance_ms(3_000)
+    assert set(site.old.standing) == set(uids) and not site.clients.over_us
+
+
 # Guards against renewals that close the connection by which a call's process is known to live.
 def test_renewals_leave_the_connections_of_other_calls(site: VirtualSite) -> None:
     silent, *others = site.set_up(OLD, 3)
