A removed server's connections are not set aside for one lost answer

A set-up whose answer was lost set its connection aside (silent after 0.3 s, or overtaken); of a removed server the standing calls on it were then ended, though their process answered there. Where a bad line closed a call's last connection no release went out on it.

Change: the connections of a removed server are not set aside, as nothing more is sent on them; a connection that is half closed carries the releases of its calls before that.

Measured: the two tests failed before and pass; 75 tests of the pools pass.

--- a/bitternbeam/net/platform/connection_pool.py
+++ b/bitternbeam/net/platform/connection_pool.py
@@ -233,6 +233,8 @@
         self.connections.remove(connection)
         self._keep_releases(connection)
         for request in self.requests.sent_on(connection):
+            if self.retired and connection.is_open:  # only its write side is about to close
+                connection.send_release(request.attempt.offer.uid)
             request.connection = None
             request.release_unsent = not request.established
         connection.pending.clear()
@@ -275,7 +277,10 @@
         """Send nothing more on a connection, but read from it for a while.
 
         Releases may be on their way on it, and the booker does not repeat them after a reset from our side.
+        A removed server's stay: no set-up is sent on them, and its calls end with their connections.
         """
+        if self.retired:
+            return
         self.context.counters.add(f"booker.set_aside.{cause}")
         requests = self.requests.sent_on(connection)
         log.info("server %s: connection set aside: %s; calls: %d", self.endpoint.booker, cause, len(requests))
--- a/tests/test_removed_servers.py
+++ b/tests/test_removed_servers.py
@@ -45,6 +45,33 @@
     assert set(site.old.standing) == set(uids) and not site.clients.over_us
 
 
+# Guards against ending calls of a removed server with a set-up beside them whose answer was lost.
+def test_calls_of_a_removed_server_outlast_a_lost_answer_on_their_connection(site: VirtualSite) -> None:
+    (uid,) = site.set_up(OLD, 1)
+    site.advance_ms(500)
+    pool = site.back.pools[OLD]
+    (own,) = [one for one in pool.connections if one.transport is site.old.standing[uid]]
+    pool.least_loaded = lambda: own  # type: ignore[method-assign]
+    site.old.loses_answers = True
+    (unanswered,) = site.set_up(OLD, 1)
+    site.advance_ms(10)
+    remove_old(site)
+    site.advance_ms(10_000)
+    assert not site.clients.over_us and site.clients.answered[unanswered] == ""
+    assert set(site.old.standing) == {uid}
+
+
+def test_calls_on_a_connection_with_a_bad_line_are_over_on_both_sides(site: VirtualSite) -> None:
+    (uid,) = site.set_up(OLD, 1)
+    site.advance_ms(500)
+    remove_old(site)
+    for connection in set(site.old.connections) - {site.old.standing[uid]}:
+        connection.reset()
+    site.old.standing[uid].protocol.dataReceived(b"{nonsense\n")
+    site.advance_ms(500)
+    assert set(site.clients.over_us) == {uid} and site.old.released == {uid}
+
+
 # Guards against renewals that close the connection by which a call's process is known to live.
 def test_renewals_leave_the_connections_of_other_calls(site: VirtualSite) -> None:
     silent, *others = site.set_up(OLD, 3)
--- a/tests/virtual_servers.py
+++ b/tests/virtual_servers.py
@@ -98,6 +98,7 @@
         self.standing: dict[str, VirtualTransport] = {}
         self.launched: dict[str, int] = {}  # times of the set-ups
         self.released: set[str] = set()  # by the controller
+        self.loses_answers = False
         self.ended: list[str] = []  # whose releases are repeated on the next connection
 
     def accept(self, transport: VirtualTransport) -> None:
@@ -118,7 +119,8 @@
         elif kind == "launch":
             self.launched[uid] = self.clock.time_us
             self.standing[uid] = transport
-            transport.deliver({"kind": "running", "uid": uid, "body": self.name})
+            if not self.loses_answers:
+                transport.deliver({"kind": "running", "uid": uid, "body": self.name})
         elif kind == "stop" and self.standing.pop(uid, None):
             self.released.add(uid)
 
