A restart keeps the connections on which something was heard since the start told

A restart's calls and connections were sorted by when the connection was opened alone. Where the start told is a few milliseconds later than the process took connections, all calls sent there until the list's word would have been ended.

Change: what was decided on before the start ends, as ever; what was sent since ends only if its connection is older than the start and carried nothing since, or was lost. Only such connections are set aside.

--- a/bitternbeam/net/platform/booker_connection.py
+++ b/bitternbeam/net/platform/booker_connection.py
@@ -78,6 +78,12 @@
     silent_connection: BookerConnection | None = None  # it was sent on this one, which went silent
     release_unsent: bool = False  # its connection broke, and it ends once the booker was sent its release
 
+    def is_at_former_process(self, started_us: int) -> bool:
+        """Whether it was sent to the process before the one that started then."""
+        if self.connection is not None:
+            return self.connection.leads_to_former_process(started_us)
+        return self.connection_opened_us < started_us
+
     @property
     def release_in_doubt(self) -> bool:
         """Whether the booker may still send a release on a connection that carries nothing."""
@@ -154,6 +160,10 @@
         quiet_us = self.deadlines.now_us() - self.last_received_us
         return self.unanswered_checks >= MIN_UNANSWERED_CHECKS and quiet_us > self.limits.booker_silent_us
 
+    def leads_to_former_process(self, started_us: int) -> bool:
+        """Whether it was opened before a process started, and nothing was heard on it since."""
+        return self.opened_us < started_us and self.last_received_us < started_us
+
     def count_check(self) -> None:
         """Count a liveness check that finds a heartbeat unanswered."""
         self.unanswered_checks += self.heartbeat_pending
--- a/bitternbeam/net/platform/booker_pool.py
+++ b/bitternbeam/net/platform/booker_pool.py
@@ -74,7 +74,7 @@
         """End what the server's process before its restart was sent, and leave that one's connections."""
         cut_and_release(self, self.requests.sent_before_start(started_us), UnheldCause.RESTARTED)
         for connection in self.connections[:]:
-            if connection.opened_us < started_us:
+            if connection.leads_to_former_process(started_us):
                 self.retire_connection(connection, "restarted")
 
     def load_reported(self, connection: BookerConnection, report: Report) -> None:
--- a/bitternbeam/net/platform/upstream_requests.py
+++ b/bitternbeam/net/platform/upstream_requests.py
@@ -123,5 +123,9 @@
         self.finish(request, AttemptEnd(Outcome.CUT, connection_broken=request.release_unsent))
 
     def sent_before_start(self, started_us: int) -> list[UpstreamRequest]:
-        """Return what was sent on connections that were opened before the server's process started."""
-        return [request for request in self.sent() if request.connection_opened_us < started_us]
+        """Return what was sent before a process of the server started, or to the one before it."""
+        return [
+            request
+            for request in self.sent()
+            if request.attempt.decided_us < started_us or request.is_at_former_process(started_us)
+        ]
--- a/tests/test_removed_servers.py
+++ b/tests/test_removed_servers.py
@@ -151,6 +151,19 @@
     assert {one.transport.process for one in site.back.pools[OLD].connections} == {restarted}
 
 
+# Guards against ending calls of the restarted process where the start told is a little late.
+def test_calls_on_a_connection_that_is_heard_since_the_start_told_stand(site: VirtualSite) -> None:
+    site.old.reset()
+    site.advance_ms(500)
+    started_us = site.clock.time_us
+    site.advance_ms(10)
+    uids = site.set_up(OLD, 2)
+    site.advance_ms(500)
+    site.tell([(OLD, OLD_ADDRESS, READY, started_us)])
+    site.advance_ms(10_000)
+    assert set(site.old.standing) == set(uids) and not site.clients.over_us
+
+
 # Guards against a call that goes to the new server because it was decided on since that one's start.
 def test_a_call_sent_to_the_former_process_after_the_start_of_the_new_one_ends_with_the_former(
     site: VirtualSite,
